Set up the workspace and the design

Ruled out: one package for all modules, because others are to embed the coordination parts without the daemons.

--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+export type * from './commands.ts';
+export type * from './resources.ts';
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,12 @@
+export {assertInvariant} from './assert-invariant.ts';
+export {type ErrorBody, fromErrorBody, toErrorBody} from './error-body.ts';
+export {
+	CommitUnknownError,
+	DataCorruptionError,
+	InvariantViolationError,
+	NotLeaderError,
+	RefusedError,
+	RevisionConflictError,
+	ValidationError,
+} from './error-classes.ts';
+export {type ErrorDetails, MarjoramcoveError} from './marjoramcove-error.ts';
--- /dev/null
+++ b/packages/errors/src/marjoramcove-error.ts
@@ -0,0 +1,42 @@
+import type {Verdict} from '@marjoramcove/types';
+
+/** What every error of the system carries. */
+export type ErrorDetails = {
+	/** Machine-readable code in kebab case, also the label of the refusal counter. */
+	reason: string;
+	/** Whether the request may have run. */
+	verdict: Verdict;
+	/** What the reader should do next. */
+	hint: string;
+	/** Other data for the reader, such as the current revision or other addresses. */
+	data?: Record<string, unknown>;
+	cause?: unknown;
+};
+
+/**
+ * Base class of all errors that reach a caller or an operator.
+ *
+ * @example
+ * ```ts
+ * throw new MarjoramcoveError('The history is larger than 4194304 bytes.', {
+ * 	reason: 'history-too-large',
+ * 	verdict: 'not-run',
+ * 	hint: 'End the program and open a new one with a shorter history.',
+ * });
+ * ```
+ */
+export class MarjoramcoveError extends Error {
+	readonly reason: string;
+	readonly verdict: Verdict;
+	readonly hint: string;
+	readonly data: Record<string, unknown> | undefined;
+
+	constructor(message: string, details: ErrorDetails) {
+		super(message, {cause: details.cause});
+		this.name = new.target.name;
+		this.reason = details.reason;
+		this.verdict = details.verdict;
+		this.hint = details.hint;
+		this.data = details.data;
+	}
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,2 @@
+export {Kernel} from './kernel.ts';
+export {Service, type ServiceDirectory} from './service.ts';
--- /dev/null
+++ b/packages/programs/src/commands.ts
@@ -0,0 +1,114 @@
+import type {
+	CallerId,
+	DaemonId,
+	IncarnationId,
+	ProgramId,
+	RequestId,
+	UpstreamId,
+	Verdict,
+} from '@marjoramcove/types';
+
+/** Limits of a program: tokens (prompt plus completion), turns, wall time. */
+export type ProgramBudget = {tokens: number; turns: number; wallTimeMs: number};
+
+/** Text of one history entry; `role` as in chat messages. */
+export type HistoryText = {role: string; content: string};
+
+/** Who sends an attempt, and to which upstream. Committed before anything is sent. */
+export type Intent = {
+	attempt: number;
+	upstreamId: UpstreamId;
+	dispatcherId: DaemonId;
+	dispatcherIncarnation: IncarnationId;
+};
+
+export type CallKind = 'model' | 'tool';
+
+/** Outcome of a call as it is recorded. */
+export type CallOutcome =
+	| {status: 'answered'; verdict: 'ran'; contentType: string}
+	| {status: 'failed'; verdict: Verdict; reason: string; message: string};
+
+export type ProgramCommand =
+	| {
+			type: 'open-program';
+			nowMs: number;
+			programId: ProgramId;
+			callerId: CallerId;
+			labels: Record<string, string>;
+			budget: ProgramBudget;
+			/** The parent may live in another shard; its carve-out is `carve-budget` there. */
+			parentId?: ProgramId;
+			deadlineMs?: number;
+			operationId?: string;
+	  }
+	| {
+			/** Reserves part of a parent's budget for a sub-agent, on the parent's shard. */
+			type: 'carve-budget';
+			nowMs: number;
+			programId: ProgramId;
+			childId: ProgramId;
+			budget: ProgramBudget;
+	  }
+	| {
+			/** Returns what an ended sub-agent did not spend, on the parent's shard. */
+			type: 'return-budget';
+			nowMs: number;
+			programId: ProgramId;
+			childId: ProgramId;
+			spentTokens: number;
+			spentTurns: number;
+	  }
+	| {
+			type: 'accept-call';
+			nowMs: number;
+			programId: ProgramId;
+			requestId: RequestId;
+			/** Hash of the request body; the same request id with another hash is refused. */
+			bodyHash: string;
+			kind: CallKind;
+			idempotent: boolean;
+			/** Turn number that the caller expects; refused when another turn is next. */
+			expectedTurn?: number;
+			messages: HistoryText[];
+			reservedTokens: number;
+			timeoutMs: number;
+			intent: Intent;
+	  }
+	| {
+			type: 'retry-call';
+			nowMs: number;
+			programId: ProgramId;
+			requestId: RequestId;
+			/** Attempt that was lost; ignored unless it is the current one. */
+			lostAttempt: number;
+			reservedTokens: number;
+			intent: Intent;
+	  }
+	| {
+			type: 'settle-call';
+			nowMs: number;
+			programId: ProgramId;
+			requestId: RequestId;
+			attempt: number;
+			outcome: CallOutcome;
+			/** Answer appended to the history; absent when there is none. */
+			answer?: HistoryText;
+			/** Tokens used; absent when unknown, then the reservation counts as spent. */
+			usedTokens?: number;
+			cachedTokens?: number;
+	  }
+	| {
+			type: 'end-program';
+			nowMs: number;
+			programId: ProgramId;
+			reason: string;
+	  }
+	| {type: 'expire-programs'; nowMs: number}
+	| {
+			/** An engine confirmed that it holds no memory for the program any more. */
+			type: 'record-release';
+			nowMs: number;
+			programId: ProgramId;
+			upstreamId: UpstreamId;
+	  };
--- /dev/null
+++ b/packages/programs/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './commands.ts';
--- /dev/null
+++ b/packages/types/src/ids.ts
@@ -0,0 +1,33 @@
+import type {Branded} from './branded.ts';
+
+/** Identifies a daemon; unique per VM and stable across restarts. */
+export type DaemonId = Branded<string, 'DaemonId'>;
+/** Identifies one process instance of a daemon; changes at each restart. */
+export type IncarnationId = Branded<string, 'IncarnationId'>;
+/** Identifies the disk of a replica; a replaced disk has a new id. */
+export type DiskId = Branded<string, 'DiskId'>;
+/** Identifies a replicated log: `config` or `shard-<n>`. */
+export type GroupId = Branded<string, 'GroupId'>;
+/** Identifies a program. The home shard is part of the id: `p<shard>-<random>`. */
+export type ProgramId = Branded<string, 'ProgramId'>;
+/** Identifies a call within its program; chosen by the caller, or by the daemon when absent. */
+export type RequestId = Branded<string, 'RequestId'>;
+/** Identifies a caller (a team): the unit of fairness. */
+export type CallerId = Branded<string, 'CallerId'>;
+/** Identifies an upstream: a model engine or a plain service. */
+export type UpstreamId = Branded<string, 'UpstreamId'>;
+/** Identifies an operator's change, so that a resent change gets its first outcome. */
+export type OperationId = Branded<string, 'OperationId'>;
+/** Name of an availability zone. */
+export type ZoneName = Branded<string, 'ZoneName'>;
+
+/**
+ * Brands a plain string as an id. Use it only where data enters the process, after validation.
+ *
+ * @example
+ * ```ts
+ * const upstreamId = asId<UpstreamId>('engine-1');
+ * ```
+ */
+export const asId = <Id extends Branded<string, string>>(value: string): Id =>
+	value as Id;
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,16 @@
+export type {Branded} from './branded.ts';
+export * from './constants.ts';
+export {
+	asId,
+	type CallerId,
+	type DaemonId,
+	type DiskId,
+	type GroupId,
+	type IncarnationId,
+	type OperationId,
+	type ProgramId,
+	type RequestId,
+	type UpstreamId,
+	type ZoneName,
+} from './ids.ts';
+export type {Verdict} from './verdict.ts';
