Add logger, metrics and settings

Cause: the daemon needs logs, metrics and a checked settings file. Ruled out: a worker thread for log formatting, because the daemon runs on one thread and has 64 MB; one regular histogram size for all series, because histograms grow on demand. Conclusion: a misspelt key is reported with its path and no stack trace.

--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+export {
+	type ClosableLogger,
+	createLogger,
+	LOG_LEVELS,
+	type LoggerOptions,
+	type LogLevel,
+} from './create-logger.ts';
+export type {Logger} from 'pino';
--- /dev/null
+++ b/packages/settings/src/parse-settings.test.ts
@@ -0,0 +1,58 @@
+import {describe, expect, it} from 'vitest';
+import {parseSettings} from './parse-settings.ts';
+
+const minimal = `
+daemonId: d1
+zone: zone-a
+listen: {httpPort: 8101, peerPort: 8201}
+roles: [entry, state]
+dataFolder: /tmp/d1
+cluster:
+  peers:
+    - {daemonId: d1, zone: zone-a, peerAddress: "127.0.0.1:8201", httpAddress: "127.0.0.1:8101", state: true}
+`;
+
+describe('parseSettings', () => {
+	describe('valid settings', () => {
+		it('fills in the defaults', () => {
+			const settings = parseSettings(minimal);
+			expect(settings.cluster.shardCount).toBe(4);
+			expect(settings.timing.configurationLeaseMs).toBe(5000);
+			expect(settings.logs).toEqual({level: 'info', destination: 'stderr'});
+		});
+	});
+
+	describe('invalid settings', () => {
+		it('names the path of a misspelt key, so that it is not ignored', () => {
+			expect(() =>
+				parseSettings(minimal + 'timing: {heartbeetMs: 5}\n'),
+			).toThrow('timing.heartbeetMs: found an unknown key');
+		});
+
+		it('names the path, the value found and what is allowed', () => {
+			expect(() =>
+				parseSettings(minimal.replace('8101, peer', '99999, peer')),
+			).toThrow(/listen\.httpPort: found 99999; allowed: .*65535/v);
+		});
+
+		it('reports invalid YAML with its line', () => {
+			expect(() => parseSettings('daemonId: [d1\nzone: x')).toThrow(
+				/^line \d/v,
+			);
+		});
+
+		it('refuses a lease that heartbeats cannot renew in time', () => {
+			expect(() =>
+				parseSettings(
+					minimal + 'timing: {heartbeatMs: 1000, configurationLeaseMs: 1500}\n',
+				),
+			).toThrow('timing.configurationLeaseMs');
+		});
+
+		it('requires a data folder for the state role', () => {
+			expect(() =>
+				parseSettings(minimal.replace('dataFolder: /tmp/d1\n', '')),
+			).toThrow('dataFolder: found nothing');
+		});
+	});
+});
