--- /dev/null
+++ b/packages/programs/src/assert-program.ts
@@ -0,0 +1,60 @@
+import {assertInvariant} from '@marjoramcove/errors';
+import type {ProgramId} from '@marjoramcove/types';
+import {assertBudget} from './budget.ts';
+import type {ProgramsState} from './state.ts';
+import type {StepContext} from './step-context.ts';
+
+/** Asserts that the history stream grew by exactly the appended texts. */
+export const assertState = (
+	{state, appended}: StepContext,
+	historyBefore: number,
+	event: unknown,
+): void => {
+	let expected = historyBefore;
+	for (const text of appended) {
+		expected += Buffer.byteLength(text.content);
+	}
+
+	assertInvariant(
+		state.historyLengthBytes === expected,
+		'history-appended-once',
+		event,
+		`${state.historyLengthBytes} instead of ${expected} bytes`,
+	);
+};
+
+/** Asserts the invariants of one program. */
+export const assertProgram = (
+	state: ProgramsState,
+	programId: ProgramId,
+	event: unknown,
+): void => {
+	const program = state.programs.get(programId);
+	if (!program) {
+		return;
+	}
+
+	assertBudget(program, event);
+	const {call} = program;
+	assertInvariant(
+		!call || program.endedReason === undefined,
+		'ended-program-has-no-open-call',
+		event,
+	);
+	assertInvariant(
+		!call || call.turn === program.nextTurn - 1,
+		'open-call-has-last-turn',
+		event,
+	);
+	assertInvariant(
+		call?.kind !== 'model' ||
+			program.holds.some((hold) => hold.upstreamId === call.intent.upstreamId),
+		'hold-recorded-before-use',
+		event,
+	);
+	assertInvariant(
+		!call || call.attemptAtMs + call.timeoutMs <= program.deadlineMs,
+		'timeout-within-wall-time',
+		event,
+	);
+};
--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -111,4 +111,26 @@
 			nowMs: number;
 			programId: ProgramId;
 			upstreamId: UpstreamId;
+			/**
+			 * Turn of the hold that was released, as listed by `pendingReleases`. Without it, a
+			 * confirmation counts only for an ended program, because a late one could otherwise drop a
+			 * hold that a newer call renewed.
+			 */
+			heldTurn?: number;
+	  }
+	| {
+			/** The parent's shard confirmed `return-budget` for this ended sub-agent. */
+			type: 'record-return';
+			nowMs: number;
+			programId: ProgramId;
+	  }
+	| {
+			/**
+			 * Makes sure that a sub-agent whose budget was carved out, but whose `open-program` was not
+			 * observed, is never opened. An unknown program becomes an ended one that spent nothing.
+			 */
+			type: 'abandon-program';
+			nowMs: number;
+			programId: ProgramId;
+			parentId: ProgramId;
 	  };
--- /dev/null
+++ b/packages/programs/src/end-program.ts
@@ -0,0 +1,131 @@
+import {
+	type CommandOf,
+	type StepContext,
+	appendHistory,
+	refuse,
+} from './step-context.ts';
+import {sliceEntries} from './history-entries.ts';
+import {
+	appendRecord,
+	dropOldRecords,
+	hashRequestId,
+	listRecords,
+	packRecords,
+} from './request-records.ts';
+import type {CancelledCall, ProgramResult} from './results.ts';
+import type {Program, ProgramsState} from './state.ts';
+import {internText} from './text-table.ts';
+
+/** Settles the open call as cancelled: it may have run, and its reservation counts as spent. */
+export const cancelCall = (
+	context: StepContext,
+	program: Program,
+	reason: string,
+): CancelledCall[] => {
+	const {call} = program;
+	if (!call) {
+		return [];
+	}
+
+	const entryIndex = appendHistory(context, program, {
+		role: 'error',
+		content: `The call was cancelled: ${reason}.`,
+	});
+	program.spentTokens += call.reservedTokens;
+	program.records = appendRecord(
+		program.records,
+		{
+			idHash: hashRequestId(call.requestId),
+			bodyHash: call.bodyHash,
+			turn: call.turn,
+			attempt: call.intent.attempt,
+			answered: false,
+			verdict: 'may-have-run',
+			kind: call.kind,
+			idempotent: call.idempotent,
+			refused: false,
+			textIndex: internText(context.state.texts, reason),
+			entryIndex,
+		},
+		context.state.limits.recordsPerProgram,
+	);
+	program.call = undefined;
+	return [
+		{
+			programId: program.id,
+			requestId: call.requestId,
+			intent: call.intent,
+			reason,
+		},
+	];
+};
+
+/** Keeps only the newest records and those of non-idempotent calls, and the entries they refer to. */
+const shrinkToTombstone = (state: ProgramsState, program: Program): void => {
+	const kept = dropOldRecords(
+		program.records,
+		state.limits.recordsPerEndedProgram,
+	);
+	let entries = '';
+	let count = 0;
+	const records = listRecords(kept).map((record) => {
+		if (record.entryIndex === undefined) {
+			return record;
+		}
+
+		entries += sliceEntries(
+			program.entries,
+			record.entryIndex,
+			record.entryIndex + 1,
+		);
+		return {...record, entryIndex: count++};
+	});
+	program.entries = sliceEntries(entries, 0);
+	program.records = packRecords(records);
+};
+
+/** Ends a program: cancels its open call; its holds become pending releases. */
+export const endProgram = (
+	context: StepContext,
+	program: Program,
+	reason: string,
+): CancelledCall[] => {
+	const cancelled = cancelCall(context, program, reason);
+	program.endedReason =
+		context.state.texts[internText(context.state.texts, reason)]!;
+	program.endedAtMs = context.nowMs;
+	program.returnPending = program.parentId === undefined ? undefined : true;
+	shrinkToTombstone(context.state, program);
+	return cancelled;
+};
+
+/** Applies `end-program`. */
+export const stepEndProgram = (
+	context: StepContext,
+	command: CommandOf<'end-program'>,
+): ProgramResult => {
+	const program = context.state.programs.get(command.programId);
+	if (!program) {
+		return refuse(
+			'program-unknown',
+			`No program ${command.programId} is known.`,
+		);
+	}
+
+	if (program.endedReason !== undefined) {
+		return {
+			outcome: 'ended',
+			reason: program.endedReason,
+			repeated: true,
+			cancelled: [],
+		};
+	}
+
+	const cancelled = endProgram(context, program, command.reason);
+	return {
+		outcome: 'ended',
+		reason: program.endedReason!,
+		repeated: false,
+		cancelled,
+	};
+};
--- /dev/null
+++ b/packages/programs/src/program-id.ts
@@ -0,0 +1,16 @@
+import type {ProgramId} from '@marjoramcove/types';
+
+const PATTERN = /^p(\d{1,6})-[\w.-]{1,64}$/u;
+
+/**
+ * Shard in a program id of the form `p<shard>-<random>`; `NaN` when the id has another form.
+ *
+ * @example
+ * ```ts
+ * programOfShard(asId<ProgramId>('p3-x7k2')); // 3
+ * ```
+ */
+export const programOfShard = (programId: ProgramId): number => {
+	const match = PATTERN.exec(programId);
+	return match ? Number(match[1]) : Number.NaN;
+};
--- /dev/null
+++ b/packages/programs/src/release.ts
@@ -0,0 +1,99 @@
+import type {CallerId} from '@marjoramcove/types';
+import type {ProgramResult} from './results.ts';
+import {type CommandOf, refuse, type StepContext} from './step-context.ts';
+
+/**
+ * Applies `record-release`: drops the hold on an engine. For a program that has not ended, only the
+ * confirmation of the newest use counts, and none while the engine runs a call.
+ */
+export const stepRecordRelease = (
+	context: StepContext,
+	command: CommandOf<'record-release'>,
+): ProgramResult => {
+	const program = context.state.programs.get(command.programId);
+	const hold = program?.holds.find(
+		(candidate) => candidate.upstreamId === command.upstreamId,
+	);
+	if (!program || !hold) {
+		return {outcome: 'done', repeated: true};
+	}
+
+	const isCurrent =
+		command.heldTurn === hold.turn &&
+		program.call?.intent.upstreamId !== command.upstreamId;
+	if (program.endedReason === undefined && !isCurrent) {
+		return {outcome: 'ignored', reason: 'hold-renewed'};
+	}
+
+	program.holds = program.holds.filter((candidate) => candidate !== hold);
+	return {outcome: 'done', repeated: false};
+};
+
+/** Applies `record-return`: the parent's shard has the returned budget of an ended sub-agent. */
+export const stepRecordReturn = (
+	context: StepContext,
+	command: CommandOf<'record-return'>,
+): ProgramResult => {
+	const program = context.state.programs.get(command.programId);
+	if (!program?.returnPending) {
+		return {outcome: 'done', repeated: true};
+	}
+
+	program.returnPending = false;
+	return {outcome: 'done', repeated: false};
+};
+
+/** Applies `abandon-program`: an unknown sub-agent becomes an ended one that spent nothing. */
+export const stepAbandonProgram = (
+	context: StepContext,
+	command: CommandOf<'abandon-program'>,
+): ProgramResult => {
+	const {state, nowMs} = context;
+	const existing = state.programs.get(command.programId);
+	if (existing) {
+		return existing.endedReason === undefined
+			? refuse(
+					'program-exists',
+					`Program ${existing.id} was opened and has not ended.`,
+				)
+			: {
+					outcome: 'ended',
+					reason: existing.endedReason,
+					repeated: true,
+					cancelled: [],
+				};
+	}
+
+	state.programs.set(command.programId, {
+		id: command.programId,
+		callerId: '' as CallerId,
+		labels: '{}',
+		parentId: command.parentId,
+		openHash: 0,
+		operationKey: undefined,
+		tokenLimit: 0,
+		spentTokens: 0,
+		carvedTokens: 0,
+		turnLimit: 0,
+		spentTurns: 0,
+		carvedTurns: 0,
+		deadlineMs: nowMs,
+		nextTurn: 1,
+		historyBytes: 0,
+		cachedTokens: 0,
+		records: '',
+		entries: '',
+		call: undefined,
+		holds: [],
+		carves: undefined,
+		endedReason: 'abandoned',
+		endedAtMs: nowMs,
+		returnPending: true,
+	});
+	return {
+		outcome: 'ended',
+		reason: 'abandoned',
+		repeated: false,
+		cancelled: [],
+	};
+};
--- /dev/null
+++ b/packages/programs/src/request-records.ts
@@ -0,0 +1,139 @@
+import type {RequestId, Verdict} from '@marjoramcove/types';
+import type {CallKind} from './commands.ts';
+import {hashText32, hashText64} from './hash.ts';
+import {appendRows, countRows, filterRows, readRow} from './packed-rows.ts';
+
+/** A settled request as it is kept: the answer is an index into the history entries. */
+export type StoredRecord = {
+	/** 64-bit hash of the request id. */
+	idHash: bigint;
+	bodyHash: number;
+	turn: number;
+	attempt: number;
+	answered: boolean;
+	verdict: Verdict;
+	kind: CallKind;
+	idempotent: boolean;
+	/** Whether the call was refused before it got a turn. */
+	refused: boolean;
+	/** Index of the content type (answered) or the reason (failed) in the text table. */
+	textIndex: number;
+	/** Index of the answer or error message in the history entries. */
+	entryIndex?: number;
+};
+
+const ROW_BYTES = 19;
+const NO_ENTRY = 0xff_ff;
+const VERDICTS: readonly Verdict[] = ['not-run', 'may-have-run', 'ran'];
+
+/** Largest number of history entries, so that an index fits into a row. */
+export const MAX_ENTRIES = NO_ENTRY;
+
+/** Hash under which a request id is recorded. */
+export const hashRequestId = (requestId: RequestId): bigint =>
+	hashText64(requestId);
+
+/** Hash under which the body hash of a request is recorded. */
+export const hashBody = (bodyHash: string): number => hashText32(bodyHash);
+
+const encodeRecord = (record: StoredRecord): Buffer => {
+	const row = Buffer.alloc(ROW_BYTES);
+	row.writeBigUInt64LE(record.idHash, 0);
+	row.writeInt32LE(record.bodyHash, 8);
+	row.writeUInt16LE(record.turn, 12);
+	row.writeUInt8(record.attempt, 14);
+	row.writeUInt8(
+		VERDICTS.indexOf(record.verdict) +
+			(record.answered ? 4 : 0) +
+			(record.kind === 'tool' ? 8 : 0) +
+			(record.idempotent ? 16 : 0) +
+			(record.refused ? 32 : 0),
+		15,
+	);
+	row.writeUInt8(record.textIndex, 16);
+	row.writeUInt16LE(record.entryIndex ?? NO_ENTRY, 17);
+	return row;
+};
+
+const hasFlag = (flags: number, flag: number): boolean =>
+	Math.floor(flags / flag) % 2 === 1;
+
+/** Reads one record from packed rows. */
+export const readRecord = (rows: string, index: number): StoredRecord => {
+	const row = readRow(rows, ROW_BYTES, index);
+	const flags = row.readUInt8(15);
+	const entryIndex = row.readUInt16LE(17);
+	return {
+		idHash: row.readBigUInt64LE(0),
+		bodyHash: row.readInt32LE(8),
+		turn: row.readUInt16LE(12),
+		attempt: row.readUInt8(14),
+		verdict: VERDICTS[flags % 4]!,
+		answered: hasFlag(flags, 4),
+		kind: hasFlag(flags, 8) ? 'tool' : 'model',
+		idempotent: hasFlag(flags, 16),
+		refused: hasFlag(flags, 32),
+		textIndex: row.readUInt8(16),
+		...(entryIndex !== NO_ENTRY && {entryIndex}),
+	};
+};
+
+/** All records, the oldest first. */
+export const listRecords = (rows: string): StoredRecord[] =>
+	Array.from({length: countRows(rows, ROW_BYTES)}, (_, index) =>
+		readRecord(rows, index),
+	);
+
+/** Finds the record of a request id. */
+export const findRecord = (
+	rows: string,
+	requestId: RequestId,
+): StoredRecord | undefined => {
+	const wanted = Buffer.alloc(8);
+	wanted.writeBigUInt64LE(hashRequestId(requestId));
+	const key = wanted.toString('latin1');
+	for (let start = rows.length - ROW_BYTES; start >= 0; start -= ROW_BYTES) {
+		if (rows.startsWith(key, start)) {
+			return readRecord(rows, start / ROW_BYTES);
+		}
+	}
+
+	return undefined;
+};
+
+/** Whether a record must stay as long as its program: a lost one could let the call run again. */
+const isPermanent = (record: StoredRecord): boolean =>
+	!record.idempotent && !record.refused;
+
+/**
+ * Appends a record. Of the records of idempotent calls, and of those of refusals, only the newest
+ * `keep` stay; records of non-idempotent calls always stay.
+ */
+export const appendRecord = (
+	rows: string,
+	record: StoredRecord,
+	keep: number,
+): string => {
+	const appended = appendRows(rows, encodeRecord(record));
+	return countRows(appended, ROW_BYTES) <= keep
+		? appended
+		: dropOldRecords(appended, keep);
+};
+
+/** Drops all but the newest `keep` records of each droppable kind. */
+export const dropOldRecords = (rows: string, keep: number): string => {
+	const records = listRecords(rows);
+	let refusals = records.filter((record) => record.refused).length;
+	let calls = records.length - refusals;
+	return filterRows(rows, ROW_BYTES, (index) => {
+		const record = records[index]!;
+		const remaining = record.refused ? refusals-- : calls--;
+		return isPermanent(record) || remaining <= keep;
+	});
+};
+
+/** Packs records again, for example after their entries got new indexes. */
+export const packRecords = (records: StoredRecord[]): string =>
+	Buffer.concat(records.map((record) => encodeRecord(record))).toString(
+		'latin1',
+	);
--- /dev/null
+++ b/packages/programs/src/state.ts
@@ -0,0 +1,139 @@
+import type {
+	CallerId,
+	ProgramId,
+	RequestId,
+	UpstreamId,
+} from '@marjoramcove/types';
+import type {CallKind, Intent, ProgramBudget} from './commands.ts';
+import {createTextTable, type TextTable} from './text-table.ts';
+
+/** Limits of the machine; the same on all replicas of a shard. */
+export type ProgramLimits = {
+	/** Largest history of one program. */
+	historySizeBytes: number;
+	/** Newest request records of idempotent calls kept per program. */
+	recordsPerProgram: number;
+	/** Request records of idempotent calls kept for an ended program. */
+	recordsPerEndedProgram: number;
+	/** Attempts of one call, the first included. */
+	attemptsPerCall: number;
+	/** Sub-agents of one program over its life. */
+	childrenPerProgram: number;
+	/** Time after which an ended program with nothing held is dropped; also the oldest accepted command. */
+	tombstoneRetentionMs: number;
+	/** Time that an open call may exceed its timeout before the machine settles it. */
+	callGraceMs: number;
+};
+
+/** Defaults of {@link ProgramLimits}. */
+export const DEFAULT_PROGRAM_LIMITS: ProgramLimits = {
+	historySizeBytes: 4 * 1024 * 1024,
+	recordsPerProgram: 16,
+	recordsPerEndedProgram: 4,
+	attemptsPerCall: 8,
+	childrenPerProgram: 1000,
+	tombstoneRetentionMs: 600_000,
+	callGraceMs: 5000,
+};
+
+/** A call that was accepted and has not been settled. */
+export type OpenCall = {
+	requestId: RequestId;
+	bodyHash: number;
+	kind: CallKind;
+	idempotent: boolean;
+	turn: number;
+	reservedTokens: number;
+	timeoutMs: number;
+	/** Time at which the current attempt was recorded. */
+	attemptAtMs: number;
+	intent: Intent;
+	/** Number of history entries before the request text was appended. */
+	entriesBefore: number;
+};
+
+/** An engine that may hold memory for the program, and the last turn that used it. */
+export type Hold = {upstreamId: UpstreamId; turn: number};
+
+/** Part of the budget given to a sub-agent; `returned` stays so that a late copy has no effect. */
+export type Carve = {
+	childId: ProgramId;
+	tokens: number;
+	turns: number;
+	returned: boolean;
+};
+
+export type Program = {
+	id: ProgramId;
+	callerId: CallerId;
+	/** Canonical JSON of the labels; one string is smaller than an object. */
+	labels: string;
+	parentId?: ProgramId;
+	/** Hash of the opening command, to tell a resent one from another one with the same id. */
+	openHash: number;
+	operationKey?: string;
+	tokenLimit: number;
+	spentTokens: number;
+	carvedTokens: number;
+	turnLimit: number;
+	spentTurns: number;
+	carvedTurns: number;
+	deadlineMs: number;
+	nextTurn: number;
+	historyBytes: number;
+	cachedTokens: number;
+	/** Packed rows; see `request-records.ts`. */
+	records: string;
+	/** Packed rows; see `history-entries.ts`. */
+	entries: string;
+	call?: OpenCall;
+	holds: Hold[];
+	carves?: Carve[];
+	/** Set when the program ended. */
+	endedReason?: string;
+	endedAtMs?: number;
+	/** Whether the parent's shard has not confirmed the returned budget of this ended sub-agent. */
+	returnPending?: boolean;
+};
+
+/** State of one shard. */
+export type ProgramsState = {
+	shard: number;
+	limits: ProgramLimits;
+	/** Largest time seen in a command. */
+	clockMs: number;
+	/** Length of the history stream of the shard. */
+	historyLengthBytes: number;
+	texts: TextTable;
+	programs: Map<ProgramId, Program>;
+	/** Program opened by an operation of a caller. */
+	operations: Map<string, ProgramId>;
+};
+
+/**
+ * Creates the state of a shard without programs.
+ *
+ * @example
+ * ```ts
+ * let state = createProgramsState(0);
+ * ```
+ */
+export const createProgramsState = (
+	shard: number,
+	limits: Partial<ProgramLimits> = {},
+): ProgramsState => ({
+	shard,
+	limits: {...DEFAULT_PROGRAM_LIMITS, ...limits},
+	clockMs: 0,
+	historyLengthBytes: 0,
+	texts: createTextTable(),
+	programs: new Map(),
+	operations: new Map(),
+});
+
+/** Budget as the program was opened with; the wall time is the one left at `nowMs`. */
+export const readBudget = (program: Program, nowMs: number): ProgramBudget => ({
+	tokens: program.tokenLimit,
+	turns: program.turnLimit,
+	wallTimeMs: Math.max(0, program.deadlineMs - nowMs),
+});
--- /dev/null
+++ b/packages/programs/src/step-programs.test.ts
@@ -0,0 +1,30 @@
+import {asId, type ProgramId, type RequestId} from '@marjoramcove/types';
+import {describe, expect, it} from 'vitest';
+import {createProgramsState, describeProgram, stepPrograms} from './index.ts';
+import {acceptCommand, openCommand, settleCommand} from './commands.fixture.ts';
+
+const programId = asId<ProgramId>('p0-a');
+const requestId = asId<RequestId>('r1');
+
+describe('stepPrograms', () => {
+	describe('accept-call', () => {
+		it('answers a resent request id from the record (failure: a lost answer runs the call twice)', () => {
+			let {state} = stepPrograms(createProgramsState(0), openCommand({}));
+			const accept = acceptCommand({});
+			expect(stepPrograms(state, accept).result.outcome).toBe('accepted');
+			expect(stepPrograms(state, accept).result.outcome).toBe('in-progress');
+			({state} = stepPrograms(state, settleCommand({})));
+			expect(stepPrograms(state, accept).result).toMatchObject({
+				outcome: 'recorded',
+				record: {turn: 1, outcome: {verdict: 'ran'}},
+			});
+			expect(describeProgram(state, programId)?.tokens).toEqual({
+				limit: 1000,
+				spent: 40,
+				reserved: 0,
+				carvedOut: 0,
+			});
+			expect(requestId).toBe(accept.requestId);
+		});
+	});
+});
