Add the scheduler's decision core

The daemon and the experiments need one set of pure decisions: admitCall, sampleViews, chooseEngine, pickNext, decideRetention and a ledger of the callers' service.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,1 +1,19 @@
+export {admitCall} from './admit-call.ts';
+export {
+	type CallerService,
+	createCallerService,
+	readService,
+	recordService,
+} from './caller-service.ts';
+export {
+	chooseEngine,
+	estimateRoutingCost,
+	isEligible,
+} from './choose-engine.ts';
+export {compareCalls, type OrderContext} from './compare-calls.ts';
+export {decideRetention} from './decide-retention.ts';
+export {estimateWorkMs, type WorkTokens} from './estimate-work.ts';
+export {orderQueue, pickNext} from './pick-next.ts';
+export {DEFAULT_TUNING, readTuning} from './policy-tuning.ts';
+export {type EngineDirectory, sampleViews} from './sample-views.ts';
 export type * from './types.ts';
--- /dev/null
+++ b/packages/scheduler/src/pick-next.ts
@@ -0,0 +1,70 @@
+import {compareCalls} from './compare-calls.ts';
+import {readTuning} from './policy-tuning.ts';
+import type {PolicySettings, PolicyTuning, QueuedCall} from './types.ts';
+
+/** Service of the least served caller among the waiting calls. */
+const findLeastService = (queue: readonly QueuedCall[]): number => {
+	let least = Number.POSITIVE_INFINITY;
+	for (const call of queue) {
+		least = Math.min(least, call.callerServiceMs ?? 0);
+	}
+
+	return least;
+};
+
+/** A caller that is far ahead in service waits until the others have caught up, unless it has starved. */
+const isWithinFairShare = (
+	call: QueuedCall,
+	leastServiceMs: number,
+	nowMs: number,
+	tuning: PolicyTuning,
+): boolean =>
+	(call.callerServiceMs ?? 0) - leastServiceMs <= tuning.fairnessSlackMs ||
+	nowMs - call.queuedAtMs >= tuning.starvationMs;
+
+/**
+ * Picks the call that an engine with a free slot serves next; undefined when none waits.
+ *
+ * @example
+ * ```ts
+ * const call = pickNext(queue, nowMs, settings);
+ * ```
+ */
+export const pickNext = (
+	queue: readonly QueuedCall[],
+	nowMs: number,
+	settings: PolicySettings,
+): QueuedCall | undefined => {
+	const tuning = readTuning(settings);
+	const context = {nowMs, settings, tuning};
+	const leastServiceMs = findLeastService(queue);
+	let best: QueuedCall | undefined;
+	for (const call of queue) {
+		if (
+			isWithinFairShare(call, leastServiceMs, nowMs, tuning) &&
+			(best === undefined || compareCalls(call, best, context) < 0)
+		) {
+			best = call;
+		}
+	}
+
+	return best;
+};
+
+/**
+ * Returns the waiting calls in the order of `compareCalls`, without the fairness between callers.
+ *
+ * @example
+ * ```ts
+ * const [first] = orderQueue(queue, nowMs, settings);
+ * ```
+ */
+export const orderQueue = (
+	queue: readonly QueuedCall[],
+	nowMs: number,
+	settings: PolicySettings,
+): QueuedCall[] => {
+	const tuning = readTuning(settings);
+	const context = {nowMs, settings, tuning};
+	return queue.toSorted((left, right) => compareCalls(left, right, context));
+};
--- /dev/null
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -0,0 +1,176 @@
+import {
+	asId,
+	type CallerId,
+	type ProgramId,
+	type UpstreamId,
+	type ZoneName,
+} from '@marjoramcove/types';
+import * as fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	type CallerService,
+	chooseEngine,
+	compareCalls,
+	createCallerService,
+	DEFAULT_TUNING,
+	type EngineView,
+	isEligible,
+	pickNext,
+	type QueuedCall,
+	readService,
+	recordService,
+} from './index.ts';
+
+const settings = {latencyWeight: 1, cacheWeight: 1};
+const zone = asId<ZoneName>('zone-a');
+const viewArbitrary: fc.Arbitrary<EngineView> = fc.record({
+	upstreamId: fc.nat(20).map((id) => asId<UpstreamId>(`engine-${id}`)),
+	zone: fc.constant(zone),
+	slots: fc.nat(8),
+	inFlight: fc.nat(16),
+	queued: fc.nat(16),
+	outstandingTokens: fc.nat(100_000),
+	cachedTokens: fc.nat(50_000),
+	cacheCapacityTokens: fc.constant(400_000),
+	relativeSpeed: fc.double({min: 0, max: 2, noNaN: true}),
+	leaving: fc.boolean(),
+	healthy: fc.boolean(),
+});
+const callArbitrary: fc.Arbitrary<QueuedCall> = fc.record({
+	programId: fc.nat(30).map((id) => asId<ProgramId>(`p0-${id}`)),
+	callerId: fc.nat(5).map((id) => asId<CallerId>(`caller-${id}`)),
+	requestId: fc.uuid(),
+	queuedAtMs: fc.nat(40_000),
+	attainedTokens: fc.nat(100_000),
+	promptTokens: fc.nat(100_000),
+	cachedTokens: fc.nat(100_000),
+	expectedCompletionTokens: fc.nat(1000),
+	turn: fc.nat(200),
+	priority: fc.integer({min: -1, max: 1}),
+	deadlineMs: fc.option(fc.nat(100_000), {nil: undefined}),
+	programStartedAtMs: fc.nat(40_000),
+});
+const callers = [0, 1, 2].map((id) => asId<CallerId>(`caller-${id}`));
+
+/** Serves one of three waiting callers, of which one has the higher priority. */
+const serveOnce = (
+	ledger: CallerService,
+	favoured: CallerId,
+	workMs: number,
+) => {
+	const queue = callers.map((callerId, id): QueuedCall => ({
+		programId: asId<ProgramId>(`p0-${id}`),
+		callerId,
+		requestId: 'r-1',
+		queuedAtMs: 0,
+		attainedTokens: 0,
+		promptTokens: 0,
+		cachedTokens: 0,
+		expectedCompletionTokens: 0,
+		turn: 0,
+		priority: callerId === favoured ? 1 : 0,
+		callerServiceMs: readService(ledger, callerId),
+	}));
+	const {callerId} = pickNext(queue, 0, settings)!;
+	const services = queue.map((call) => call.callerServiceMs!);
+	recordService(ledger, callerId, workMs, Math.min(...services));
+};
+
+const readLead = (ledger: CallerService) => {
+	const services = callers.map((callerId) => readService(ledger, callerId));
+	return Math.max(...services) - Math.min(...services);
+};
+
+const request = {
+	programId: asId<ProgramId>('p0-1'),
+	promptTokens: 20_000,
+	expectedCompletionTokens: 200,
+	zone,
+};
+
+describe('chooseEngine', () => {
+	it('never chooses a leaving or unhealthy engine, and finds an eligible one', () => {
+		fc.assert(
+			fc.property(
+				fc.array(viewArbitrary),
+				fc.double({min: 0, max: 0.99, noNaN: true}),
+				(views, draw) => {
+					const chosen = chooseEngine(request, views, 0, settings, () => draw);
+					expect(chosen === undefined).toBe(
+						!views.some((view) => isEligible(view)),
+					);
+					expect(
+						chosen === undefined || (chosen.healthy && !chosen.leaving),
+					).toBe(true);
+					expect(chooseEngine(request, views, 0, settings, () => draw)).toBe(
+						chosen,
+					);
+				},
+			),
+		);
+	});
+});
+
+describe('compareCalls', () => {
+	it('is a total order, so the queue order does not depend on the order of arrival', () => {
+		fc.assert(
+			fc.property(
+				callArbitrary,
+				callArbitrary,
+				callArbitrary,
+				fc.nat(80_000),
+				(a, b, c, nowMs) => {
+					const compare = (left: QueuedCall, right: QueuedCall) =>
+						Math.sign(
+							compareCalls(left, right, {
+								nowMs,
+								settings,
+								tuning: DEFAULT_TUNING,
+							}),
+						);
+					expect(compare(a, b) + compare(b, a)).toBe(0);
+					expect(
+						compare(a, b) <= 0 && compare(b, c) <= 0 && compare(a, c) > 0,
+					).toBe(false);
+					expect(compare(a, b) === 0).toBe(
+						a.programId === b.programId && a.requestId === b.requestId,
+					);
+				},
+			),
+		);
+	});
+});
+
+describe('pickNext', () => {
+	it('serves a call that has waited for the starvation bound before any that has not', () => {
+		fc.assert(
+			fc.property(fc.array(callArbitrary, {minLength: 1}), (queue) => {
+				const nowMs = 40_000;
+				const hasStarved = (call: QueuedCall) =>
+					nowMs - call.queuedAtMs >= DEFAULT_TUNING.starvationMs;
+				const picked = pickNext(queue, nowMs, settings)!;
+				expect(hasStarved(picked)).toBe(queue.some((call) => hasStarved(call)));
+			}),
+		);
+	});
+
+	it('bounds the lead in service of one caller over another that waits', () => {
+		fc.assert(
+			fc.property(
+				fc.array(fc.tuple(fc.nat(2), fc.integer({min: 1, max: 5000})), {
+					minLength: 50,
+					maxLength: 200,
+				}),
+				(works) => {
+					const ledger = createCallerService();
+					for (const [favoured, workMs] of works) {
+						serveOnce(ledger, callers[favoured]!, workMs);
+						expect(readLead(ledger)).toBeLessThanOrEqual(
+							DEFAULT_TUNING.fairnessSlackMs + 5000,
+						);
+					}
+				},
+			),
+		);
+	});
+});
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -9,6 +9,8 @@
 export type PolicySettings = {
 	latencyWeight: number;
 	cacheWeight: number;
+	/** Overrides of the tuning defaults; see {@link PolicyTuning}. */
+	tuning?: Partial<PolicyTuning>;
 };
 
 /** What the scheduler knows of one call that waits for an engine. */
@@ -28,6 +30,10 @@
 	expectedCompletionTokens: number;
 	turn: number;
 	priority: number;
+	/** Time at which the program was admitted; the queueing time when absent. */
+	programStartedAtMs?: number;
+	/** Service that the caller attained on this engine, as kept by `recordService`, in work milliseconds. */
+	callerServiceMs?: number;
 };
 
 /** What a process knows of one engine: its own records first, corrected by lagging reports. */
@@ -46,6 +52,10 @@
 	relativeSpeed: number;
 	leaving: boolean;
 	healthy: boolean;
+	/** Part of `outstandingTokens` that is still to be generated; a fixed share is assumed when absent. */
+	outstandingCompletionTokens?: number;
+	/** Tokens of programs that are in the cache of this engine and expected to be used again. */
+	cacheUsedTokens?: number;
 };
 
 export type RoutingRequest = {
@@ -56,7 +66,94 @@
 	/** Engine that served the previous turn of the program. */
 	previousUpstreamId?: UpstreamId;
 	deadlineMs?: number;
+	/** Number of turns that the program has finished. */
+	turn?: number;
 };
 
 /** What to do with cached memory over a pause of a program. */
 export type RetentionDecision = 'keep' | 'export' | 'drop';
+
+/** Constants of the policy; times in milliseconds of one engine at normal speed. */
+export type PolicyTuning = {
+	/** Engine time to compute one prompt token. */
+	prefillMsPerToken: number;
+	/** Engine time to generate one token in a full batch (step time divided by batch size). */
+	decodeMsPerToken: number;
+	/** Time between two tokens of one call in a full batch. */
+	stepMs: number;
+	/** Delay added for an engine in another zone. */
+	zoneDelayMs: number;
+	/** Number of engines that `sampleViews` adds to the program's previous engine. */
+	sampledEngines: number;
+	/** Waiting time after which a call goes before all that have not waited so long. */
+	starvationMs: number;
+	/** Lead in service that a caller may have over the least served waiting caller of an engine. */
+	fairnessSlackMs: number;
+	/** Expected queueing time above which new programs are refused. */
+	admissionWaitMs: number;
+	/** Expected queueing time above which calls of running programs are refused too. */
+	overloadWaitMs: number;
+	/** Share of the cache above which new programs are refused. */
+	admissionCacheShare: number;
+	/** Time to move one token of cache between the engine and host memory. */
+	transferMsPerToken: number;
+	/** Share of the cache up to which pauses of any length keep their cache. */
+	retentionCacheShare: number;
+};
+
+/** What a shard owner knows of the load of the engines that a program may use. */
+export type FleetLoad = {
+	/** Engines that take work. */
+	engines: number;
+	slots: number;
+	inFlight: number;
+	queued: number;
+	/** Engine time of all queued and in-flight calls; see `estimateWorkMs`. */
+	outstandingWorkMs: number;
+	/** Tokens held for running programs, of which `cacheCapacityTokens` fit. */
+	cacheUsedTokens: number;
+	cacheCapacityTokens: number;
+	/** Running programs of the caller at hand and of all callers, for fairness under overload. */
+	callerPrograms: number;
+	programs: number;
+	activeCallers: number;
+};
+
+/** A call that asks for admission. */
+export type AdmissionCall = {
+	programId: ProgramId;
+	callerId: CallerId;
+	/** True for the first call of a program; running programs are refused last. */
+	isNewProgram: boolean;
+	deadlineMs?: number;
+	/** Least time that the rest of the program needs on an idle fleet, if known. */
+	expectedProgramMs?: number;
+	/** Selector priority; a positive one is refused later. */
+	priority?: number;
+};
+
+/** Outcome of `admitCall`; a refusal has the verdict `not-run`. */
+export type AdmissionDecision =
+	| {admitted: true}
+	| {
+			admitted: false;
+			reason: 'overloaded' | 'deadline-unreachable';
+			retryAfterMs: number;
+	  };
+
+/** Input of `decideRetention`, at the start of a pause or the end of a program. */
+export type RetentionInput = {
+	/** Tokens of this program in the engine's cache. */
+	cachedTokens: number;
+	/** Expected length of the pause; undefined when nothing is known. */
+	expectedPauseMs?: number;
+	/** True when the program has ended; its cache is never kept. */
+	programEnded: boolean;
+	cacheUsedTokens: number;
+	cacheCapacityTokens: number;
+	/** Host memory that is free for exported cache; 0 when the engine cannot export. */
+	exportFreeTokens: number;
+};
+
+/** Random number in [0, 1). */
+export type RandomSource = () => number;
