--- /dev/null
+++ b/packages/test-support/src/cluster/write-settings.ts
@@ -0,0 +1,68 @@
+import {writeFileSync} from 'node:fs';
+import {stringify} from 'yaml';
+import type {DaemonProcess} from './daemon-process.ts';
+
+/** Parts of a settings file that a test may set. */
+export type SettingsOverrides = {
+	timing?: Record<string, number>;
+	limits?: Record<string, number>;
+	policy?: Record<string, number>;
+	vmList?: {url: string};
+	weightStore?: {url: string};
+	shardCount?: number;
+	logLevel?: string;
+};
+
+/** Timeouts for tests: short, so that failures are noticed within seconds. */
+export const fastTiming: Record<string, number> = {
+	heartbeatMs: 250,
+	electionTimeoutMinMs: 600,
+	electionTimeoutMaxMs: 1200,
+	configurationLeaseMs: 2000,
+	addressTtlMs: 1500,
+	streamSilenceMs: 1500,
+};
+
+/** Writes the settings file of a daemon. */
+export const writeSettings = (
+	daemon: DaemonProcess,
+	options: {
+		all: readonly DaemonProcess[];
+		/** Peer address of a daemon as this daemon reaches it, for example a proxy. */
+		peerAddressOf: (to: DaemonProcess) => string;
+		overrides: SettingsOverrides;
+	},
+): void => {
+	const {overrides} = options;
+	const settings = {
+		daemonId: daemon.daemonId,
+		zone: daemon.zone,
+		listen: {
+			host: '127.0.0.1',
+			httpPort: portOf(daemon.httpAddress),
+			peerPort: portOf(daemon.peerAddress),
+		},
+		roles: daemon.hasDisk ? ['entry', 'state'] : ['entry'],
+		...(daemon.hasDisk && {dataFolder: daemon.dataFolder}),
+		cluster: {
+			shardCount: overrides.shardCount ?? 4,
+			peers: options.all.map((peer) => ({
+				daemonId: peer.daemonId,
+				zone: peer.zone,
+				peerAddress:
+					peer === daemon ? peer.peerAddress : options.peerAddressOf(peer),
+				httpAddress: peer.httpAddress,
+				state: peer.hasDisk,
+			})),
+		},
+		...(overrides.vmList && {vmList: overrides.vmList}),
+		...(overrides.weightStore && {weightStore: overrides.weightStore}),
+		timing: {...fastTiming, ...overrides.timing},
+		...(overrides.limits && {limits: overrides.limits}),
+		...(overrides.policy && {policy: overrides.policy}),
+		logs: {level: overrides.logLevel ?? 'info', destination: 'stdout'},
+	};
+	writeFileSync(daemon.settingsFile, stringify(settings));
+};
+
+const portOf = (address: string): number => Number(address.split(':')[1]);
--- /dev/null
+++ b/packages/test-support/src/wait-for.ts
@@ -0,0 +1,40 @@
+/**
+ * Waits until a condition returns a truthy value, and returns that value. An error thrown by the
+ * condition counts as not yet.
+ *
+ * @throws Error with the last error or value when the time is up.
+ * @example
+ * ```ts
+ * const leader = await waitFor('a leader', async () => readLeader());
+ * ```
+ */
+export const waitFor = async <Value>(
+	what: string,
+	condition: () => Promise<Value> | Value,
+	{timeoutMs = 20_000, intervalMs = 50} = {},
+): Promise<NonNullable<Value>> => {
+	const deadline = Date.now() + timeoutMs;
+	let last = 'nothing';
+	for (;;) {
+		try {
+			const value = await condition();
+			if (value) {
+				return value;
+			}
+
+			last = JSON.stringify(value) ?? String(value);
+		} catch (error) {
+			last = error instanceof Error ? error.message : String(error);
+		}
+
+		if (Date.now() > deadline) {
+			throw new Error(
+				`Waited ${timeoutMs} ms for ${what}; the last result was: ${last}`,
+			);
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, intervalMs);
+		});
+	}
+};
