--- /dev/null
+++ b/packages/configuration/src/parse-resources.ts
@@ -0,0 +1,108 @@
+import {ValidationError} from '@marjoramcove/errors';
+import {parseAllDocuments} from 'yaml';
+import {listAllowedKeys} from './allowed-keys.ts';
+import {describeIssue} from './describe-issue.ts';
+import type {Resource} from './resources.ts';
+import {resourceSchema} from './schemas.ts';
+
+/** Largest file of resources: about 10 times the configuration of the target size. */
+export const MAX_RESOURCE_FILE_BYTES = 16 * 1024 * 1024;
+
+/** Most problems that one error lists. */
+const MAX_LISTED_PROBLEMS = 20;
+
+/**
+ * Checks one value against the schema of resources.
+ *
+ * @returns the resource, or one line per problem.
+ */
+export const validateResource = (
+	value: unknown,
+): {resource: Resource} | {problems: string[]} => {
+	const parsed = resourceSchema.safeParse(value);
+	return parsed.success
+		? {resource: parsed.data}
+		: {
+				problems: parsed.error.issues.map((issue) =>
+					describeIssue(issue, value, (path) => listAllowedKeys(value, path)),
+				),
+			};
+};
+
+type ParsedDocument = {number: number; value: unknown; problems: string[]};
+
+const readDocuments = (yamlText: string): ParsedDocument[] =>
+	[...parseAllDocuments(yamlText)].flatMap((document, index) => {
+		const number = index + 1;
+		const problems = document.errors.map(
+			(error) => error.message.split('\n')[0]!,
+		);
+		if (problems.length > 0) {
+			return [{number, value: undefined, problems}];
+		}
+
+		try {
+			const value: unknown = document.toJS();
+			return value === null ? [] : [{number, value, problems}];
+		} catch (error) {
+			return [{number, value: undefined, problems: [(error as Error).message]}];
+		}
+	});
+
+/**
+ * Parses YAML documents, one resource each. Empty documents are skipped but counted.
+ *
+ * @throws ValidationError that lists each problem with the number of the document, the path of the
+ * key, what was found and what is allowed.
+ * @example
+ * ```ts
+ * const resources = parseResources(await readFile('selectors.yaml', 'utf8'));
+ * ```
+ */
+export const parseResources = (yamlText: string): Resource[] => {
+	if (Buffer.byteLength(yamlText) > MAX_RESOURCE_FILE_BYTES) {
+		throw new ValidationError(
+			`The file is larger than ${MAX_RESOURCE_FILE_BYTES} bytes.`,
+			'Split the file and apply its parts one after the other.',
+		);
+	}
+
+	const problems: string[] = [];
+	const resources: Resource[] = [];
+	const documentOf = new Map<string, number>();
+	for (const document of readDocuments(yamlText)) {
+		const result =
+			document.problems.length > 0
+				? {problems: document.problems}
+				: validateResource(document.value);
+		if ('problems' in result) {
+			problems.push(
+				...result.problems.map(
+					(problem) => `document ${document.number}: ${problem}`,
+				),
+			);
+			continue;
+		}
+
+		const {kind, name} = result.resource;
+		const first = documentOf.get(`${kind}/${name}`);
+		if (first !== undefined) {
+			problems.push(
+				`document ${document.number}: ${kind} ${name} is also in document ${first}; allowed: one document for each kind and name`,
+			);
+		}
+
+		documentOf.set(`${kind}/${name}`, document.number);
+		resources.push(result.resource);
+	}
+
+	if (problems.length > 0) {
+		throw new ValidationError(
+			`The resources have ${problems.length} problem${problems.length === 1 ? '' : 's'}: ${problems.slice(0, MAX_LISTED_PROBLEMS).join('\n')}`,
+			'Correct the named keys; nothing was applied. Quote label values such as "true" and "1".',
+			{problems: problems.slice(0, MAX_LISTED_PROBLEMS)},
+		);
+	}
+
+	return resources;
+};
--- /dev/null
+++ b/packages/configuration/src/resources.fixture.ts
@@ -0,0 +1,63 @@
+import {
+	asId,
+	type UpstreamId,
+	type ZoneName,
+	type OperationId,
+} from '@marjoramcove/types';
+import type {ChangeCommand, ResourceChange} from './commands.ts';
+import type {
+	Labels,
+	ProgramLabelRuleResource,
+	SelectorResource,
+	UpstreamResource,
+} from './resources.ts';
+
+/** Engine with the model `agent-large`. */
+export const engineOf = (name: string, labels: Labels): UpstreamResource => ({
+	kind: 'Upstream',
+	name: asId<UpstreamId>(name),
+	labels,
+	spec: {
+		type: 'engine',
+		address: 'http://127.0.0.1:9001',
+		zone: asId<ZoneName>('zone-a'),
+		models: ['agent-large'],
+		slots: 8,
+		checksFencing: true,
+	},
+});
+
+/** Selector without a budget. */
+export const selectorOf = (
+	name: string,
+	spec: Partial<SelectorResource['spec']>,
+): SelectorResource => ({
+	kind: 'Selector',
+	name,
+	labels: {},
+	spec: {programs: {}, upstreams: {}, priority: 0, ...spec},
+});
+
+/** Rule that adds labels. */
+export const ruleOf = (
+	name: string,
+	match: Labels,
+	add: Labels,
+): ProgramLabelRuleResource => ({
+	kind: 'ProgramLabelRule',
+	name,
+	labels: {},
+	spec: {match, add},
+});
+
+/** Change command with one operation id. */
+export const changeOf = (
+	operationId: string,
+	baseRevision: number,
+	changes: ResourceChange[],
+): ChangeCommand => ({
+	type: 'change',
+	operationId: asId<OperationId>(operationId),
+	baseRevision,
+	changes,
+});
