--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,19 @@
-export {};
+export {rankByHash} from './hash.ts';
+export {
+	type DaemonPhase,
+	type Member,
+	type MemberReport,
+	toMember,
+} from './members.ts';
+export * from './queries.ts';
+export {
+	createMembershipState,
+	DEFAULT_MEMBERSHIP_SETTINGS,
+	type MembershipAction,
+	type MembershipEvent,
+	type MembershipSettings,
+	type MembershipState,
+	type MembershipStep,
+} from './state.ts';
+export {stepMembership} from './step-membership.ts';
+export {upstreamLeaving} from './step-upstreams.ts';
--- /dev/null
+++ b/packages/membership/src/step-members.ts
@@ -0,0 +1,120 @@
+import type {DaemonId, IncarnationId} from '@marjoramcove/types';
+import {isSameMember, type MemberRecord} from './members.ts';
+import {
+	KEPT_REMOVALS,
+	type MembershipAction,
+	type MembershipEvent,
+	type MembershipState,
+} from './state.ts';
+
+/** Earlier incarnations kept per daemon. */
+const KEPT_INCARNATIONS = 8;
+
+type Heartbeat = Extract<MembershipEvent, {type: 'heartbeat'}>;
+
+const markChanged = (state: MembershipState, record: MemberRecord): void => {
+	state.version++;
+	record.changedAt = state.version;
+};
+
+const isStale = (
+	record: MemberRecord,
+	{report, sequence}: Heartbeat,
+): boolean =>
+	record.pastIncarnations.includes(report.incarnation) ||
+	(report.incarnation === record.report.incarnation &&
+		sequence <= record.sequence);
+
+/** Remembers the incarnation that a new one replaces. */
+const replaceIncarnation = (
+	record: MemberRecord,
+	incarnation: IncarnationId,
+): MembershipAction[] => {
+	const previous = record.report.incarnation;
+	if (previous === incarnation) {
+		return [];
+	}
+
+	record.pastIncarnations = [...record.pastIncarnations, previous].slice(
+		-KEPT_INCARNATIONS,
+	);
+	return record.live
+		? [
+				{
+					type: 'daemon-lost',
+					daemonId: record.report.daemonId,
+					incarnation: previous,
+				},
+			]
+		: [];
+};
+
+/** Takes a heartbeat; late copies and those of earlier incarnations have no effect. */
+export const takeHeartbeat = (
+	state: MembershipState,
+	event: Heartbeat,
+	nowMs: number,
+): MembershipAction[] => {
+	const {report, sequence} = event;
+	const known = state.members.get(report.daemonId);
+	if (known && isStale(known, event)) {
+		return [];
+	}
+
+	const record = known ?? {
+		report,
+		sequence,
+		lastHeardMs: nowMs,
+		live: false,
+		changedAt: 0,
+		pastIncarnations: [],
+	};
+	const isChanged = !record.live || !isSameMember(record.report, report);
+	const lost = replaceIncarnation(record, report.incarnation);
+	Object.assign(record, {report, sequence, lastHeardMs: nowMs, live: true});
+	state.members.set(report.daemonId, record);
+	state.removed.delete(report.daemonId);
+	if (!isChanged) {
+		return [];
+	}
+
+	markChanged(state, record);
+	return [...lost, {type: 'members-changed', version: state.version}];
+};
+
+const forgetMember = (state: MembershipState, daemonId: DaemonId): void => {
+	state.members.delete(daemonId);
+	state.version++;
+	state.removed.set(daemonId, state.version);
+	if (state.removed.size > KEPT_REMOVALS) {
+		const [oldest] = state.removed;
+		state.removed.delete(oldest![0]);
+		state.removedFloor = oldest![1];
+	}
+};
+
+/** Marks silent daemons as lost and forgets those that have been silent for long. */
+export const expireMembers = (
+	state: MembershipState,
+	nowMs: number,
+): MembershipAction[] => {
+	const actions: MembershipAction[] = [];
+	const {version} = state;
+	for (const [daemonId, record] of state.members) {
+		const silentMs = nowMs - record.lastHeardMs;
+		if (record.live && silentMs >= state.settings.memberTimeoutMs) {
+			record.live = false;
+			markChanged(state, record);
+			const {incarnation} = record.report;
+			actions.push({type: 'daemon-lost', daemonId, incarnation});
+		}
+
+		if (silentMs >= state.settings.forgetAfterMs) {
+			forgetMember(state, daemonId);
+		}
+	}
+
+	return state.version === version
+		? actions
+		: [...actions, {type: 'members-changed', version: state.version}];
+};
