--- /dev/null
+++ b/packages/consensus/src/describe-group.ts
@@ -0,0 +1,94 @@
+import type {DaemonId} from '@marjoramcove/types';
+import {findReplica, isVoter, type Membership} from './membership.ts';
+import {currentMembership} from './raft-state.ts';
+import type {RaftState} from './raft-types.ts';
+import type {ReplicaGroup} from './replica-group.ts';
+import type {
+	GroupStatus,
+	RepairStatus,
+	ReplicaStatus,
+} from './replica-options.ts';
+
+const describeReplicas = (state: RaftState, nowMs: number): ReplicaStatus[] => {
+	const membership = currentMembership(state);
+	return [...membership.voters, ...membership.learners].map(
+		({daemonId, diskId}) => {
+			const base: ReplicaStatus = {
+				daemonId,
+				diskId,
+				role: isVoter(membership, diskId) ? 'voter' : 'learner',
+			};
+			if (state.role !== 'leader') {
+				return base;
+			}
+
+			const progress = state.progress.get(diskId);
+			const matchIndex = progress?.matchIndex ?? state.durableIndex;
+			return {
+				...base,
+				matchIndex,
+				lagEntries: Math.max(0, state.log.lastIndex - matchIndex),
+				isLive:
+					!progress ||
+					nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs,
+			};
+		},
+	);
+};
+
+const describeRepair = (
+	group: ReplicaGroup,
+	membership: Membership,
+): RepairStatus | undefined => {
+	const {state} = group;
+	const replica = [...membership.learners, ...membership.voters].find(
+		(candidate) => candidate.replaces,
+	);
+	if (!replica?.replaces || state.role !== 'leader') {
+		return undefined;
+	}
+
+	const progress = state.progress.get(replica.diskId);
+	const isCopying = progress?.mode === 'snapshot';
+	const copied = group.source.progress.get(replica.diskId);
+	const share = isCopying
+		? (copied?.copiedBytes ?? 0) / Math.max(1, copied?.totalBytes ?? 1)
+		: (progress?.matchIndex ?? 0) / Math.max(1, state.log.lastIndex);
+	return {
+		lostDiskId: replica.replaces,
+		newDaemonId: replica.daemonId,
+		newDiskId: replica.diskId,
+		phase: isVoter(membership, replica.diskId)
+			? 'removing'
+			: isCopying
+				? 'copying'
+				: 'catching-up',
+		progress: Math.min(1, share),
+	};
+};
+
+/** Describes a group for operators. */
+export const describeGroup = (
+	group: ReplicaGroup,
+	daemonId: DaemonId,
+	nowMs: number,
+): GroupStatus => {
+	const {state, groupId} = group;
+	const membership = currentMembership(state);
+	const self = findReplica(membership, state.selfId);
+	return {
+		groupId,
+		diskId: state.selfId,
+		role: self ? state.role : 'none',
+		isReady: self?.daemonId === daemonId && !state.isStalled,
+		leaderId: state.leader?.daemonId,
+		term: state.term,
+		lastIndex: state.log.lastIndex,
+		commitIndex: state.commitIndex,
+		appliedIndex: state.appliedIndex,
+		snapshotIndex: group.snapshotMeta?.index ?? 0,
+		historyBytes: group.history.lengthBytes,
+		replicas: describeReplicas(state, nowMs),
+		repair: describeRepair(group, membership),
+	};
+};
--- /dev/null
+++ b/packages/consensus/src/group-port.ts
@@ -0,0 +1,36 @@
+import type {
+	HistoryStream,
+	LogRecord,
+	SnapshotStore,
+} from '@marjoramcove/storage';
+import type {DaemonId, DiskId} from '@marjoramcove/types';
+import type {Clock} from './clock.ts';
+import type {ReplicaDescriptor} from './membership.ts';
+import type {PeerMessage} from './peer-messages.ts';
+import type {RaftSettings, SnapshotMeta} from './raft-types.ts';
+import type {stepRaft} from './step-raft.ts';
+
+/** Where a message goes; the disk is unknown while a group forms. */
+export type PeerAddress = {daemonId: DaemonId; diskId: DiskId | ''};
+
+/** What a group needs of its host. */
+export type GroupPort = {
+	self: ReplicaDescriptor;
+	clock: Clock;
+	random: () => number;
+	settings: RaftSettings;
+	snapshotEveryEntries: number;
+	snapshotEveryBytes: number;
+	step: typeof stepRaft;
+	snapshots: SnapshotStore<SnapshotMeta>;
+	openHistory: () => Promise<HistoryStream>;
+	/** Appends records to the shared log; resolves with their segment after the sync. */
+	append: (records: LogRecord[]) => Promise<number>;
+	send: (to: PeerAddress, message: PeerMessage) => void;
+	/** Asks for a call of {@link ReplicaGroup.flush}. */
+	scheduleFlush: () => void;
+	leadershipChanged: () => void;
+	snapshotSaved: () => void;
+	fail: (error: unknown) => void;
+	report: (event: string, fields: Record<string, unknown>) => void;
+};
--- /dev/null
+++ b/packages/consensus/src/raft-log.ts
@@ -0,0 +1,94 @@
+import type {LogEntry} from './raft-types.ts';
+
+/**
+ * The entries of a log after a base entry, in memory.
+ *
+ * @example
+ * ```ts
+ * const log = new RaftLog(0, 0);
+ * log.append([{index: 1, term: 1, kind: 'no-op', command: new Uint8Array()}]);
+ * ```
+ */
+export class RaftLog {
+	#baseIndex: number;
+	#baseTerm: number;
+	#entries: LogEntry[];
+
+	constructor(baseIndex: number, baseTerm: number, entries: LogEntry[] = []) {
+		this.#baseIndex = baseIndex;
+		this.#baseTerm = baseTerm;
+		this.#entries = entries;
+	}
+
+	/** Index of the entry before the first one that is held. */
+	get baseIndex(): number {
+		return this.#baseIndex;
+	}
+
+	get baseTerm(): number {
+		return this.#baseTerm;
+	}
+
+	get lastIndex(): number {
+		return this.baseIndex + this.#entries.length;
+	}
+
+	get lastTerm(): number {
+		return this.#entries.at(-1)?.term ?? this.baseTerm;
+	}
+
+	/** Term of the entry, or `undefined` when the log does not hold it. */
+	termAt(index: number): number | undefined {
+		return index === this.baseIndex
+			? this.baseTerm
+			: this.#entries[index - this.baseIndex - 1]?.term;
+	}
+
+	at(index: number): LogEntry | undefined {
+		return this.#entries[index - this.baseIndex - 1];
+	}
+
+	/** Entries from `first` up to and including `last`. */
+	slice(first: number, last: number): LogEntry[] {
+		return this.#entries.slice(
+			first - this.baseIndex - 1,
+			last - this.baseIndex,
+		);
+	}
+
+	append(entries: readonly LogEntry[]): void {
+		for (const entry of entries) {
+			this.#entries.push(entry);
+		}
+	}
+
+	/** Removes the entries after `index`. */
+	truncateAfter(index: number): void {
+		this.#entries.length = index - this.baseIndex;
+	}
+
+	/** Forgets the entries up to and including `index`. */
+	compact(index: number): void {
+		this.#baseTerm = this.termAt(index)!;
+		this.#entries = this.#entries.slice(index - this.baseIndex);
+		this.#baseIndex = index;
+	}
+
+	/** Forgets everything and starts after the given entry. */
+	reset(index: number, term: number): void {
+		this.#baseIndex = index;
+		this.#baseTerm = term;
+		this.#entries = [];
+	}
+
+	/** First index of the run of entries with the term of `index`. */
+	firstIndexOfTerm(index: number): number {
+		const term = this.termAt(index);
+		let first = index;
+		while (first > this.baseIndex + 1 && this.termAt(first - 1) === term) {
+			first -= 1;
+		}
+
+		return first;
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/raft-state.ts
@@ -0,0 +1,208 @@
+import {assertInvariant} from '@marjoramcove/errors';
+import type {DiskId, GroupId} from '@marjoramcove/types';
+import {
+	EMPTY_MEMBERSHIP,
+	isVoter,
+	type Membership,
+	type ReplicaDescriptor,
+} from './membership.ts';
+import {RaftLog} from './raft-log.ts';
+import type {
+	LogEntry,
+	RaftMessage,
+	RaftSettings,
+	RaftState,
+	StepContext,
+} from './raft-types.ts';
+
+/** What a replica finds on its disk when it starts. */
+export type RecoveredReplica = {
+	groupId: GroupId;
+	selfId: DiskId;
+	term: number;
+	votedFor: DiskId | undefined;
+	baseIndex: number;
+	baseTerm: number;
+	/** Membership at the base. */
+	membership: Membership;
+	entries: LogEntry[];
+	/** Last entry that the snapshot contains: it is committed and applied. */
+	snapshotIndex: number;
+};
+
+/** Decodes the membership in an entry. */
+export const decodeMembership = (entry: LogEntry): Membership =>
+	JSON.parse(Buffer.from(entry.command).toString('utf8')) as Membership;
+
+/**
+ * Creates the state of a replica as a follower.
+ *
+ * @example
+ * ```ts
+ * const state = createRaftState(recovered, DEFAULT_RAFT_SETTINGS, 0, Math.random);
+ * ```
+ */
+export const createRaftState = (
+	recovered: RecoveredReplica,
+	settings: RaftSettings,
+	nowMs: number,
+	random: () => number,
+): RaftState => {
+	const log = new RaftLog(
+		recovered.baseIndex,
+		recovered.baseTerm,
+		recovered.entries,
+	);
+	const memberships = [
+		{index: recovered.baseIndex, membership: recovered.membership},
+	];
+	for (const entry of recovered.entries) {
+		if (entry.kind === 'membership') {
+			memberships.push({
+				index: entry.index,
+				membership: decodeMembership(entry),
+			});
+		}
+	}
+
+	return {
+		groupId: recovered.groupId,
+		selfId: recovered.selfId,
+		settings,
+		term: recovered.term,
+		votedFor: recovered.votedFor,
+		durableTerm: recovered.term,
+		durableVote: recovered.votedFor,
+		log,
+		durableIndex: log.lastIndex,
+		commitIndex: recovered.snapshotIndex,
+		appliedIndex: recovered.snapshotIndex,
+		memberships,
+		role: 'follower',
+		leader: undefined,
+		leaderOfTerm: undefined,
+		electionDueMs: nowMs + drawElectionTimeout(settings, random),
+		leaderContactMs: Number.NEGATIVE_INFINITY,
+		heartbeatDueMs: 0,
+		votes: new Map(),
+		progress: new Map(),
+		termStartIndex: 0,
+		leaderSinceMs: 0,
+		round: 0,
+		confirmedRound: 0,
+		waitingReads: [],
+		pendingReads: [],
+		transfer: undefined,
+		isStalled: false,
+		isCandidacyAllowed: true,
+		uncommittedBytes: 0,
+	};
+};
+
+const drawElectionTimeout = (settings: RaftSettings, random: () => number) =>
+	settings.electionTimeoutMinMs +
+	random() * (settings.electionTimeoutMaxMs - settings.electionTimeoutMinMs);
+
+/** The latest membership in the log, committed or not. */
+export const currentMembership = (state: RaftState): Membership =>
+	state.memberships.at(-1)?.membership ?? EMPTY_MEMBERSHIP;
+
+/** The membership in force at a log index. */
+export const membershipAt = (state: RaftState, index: number): Membership =>
+	state.memberships.findLast((known) => known.index <= index)?.membership ??
+	EMPTY_MEMBERSHIP;
+
+/** Whether the replica may stand for election. */
+export const canCampaign = (state: RaftState): boolean =>
+	state.isCandidacyAllowed &&
+	!state.isStalled &&
+	isVoter(currentMembership(state), state.selfId);
+
+export const resetElectionTimer = (context: StepContext): void => {
+	const {state, nowMs, random} = context;
+	state.electionDueMs = nowMs + drawElectionTimeout(state.settings, random);
+};
+
+/** Sets term and vote and writes them to the disk. */
+export const saveHardState = (
+	context: StepContext,
+	term: number,
+	votedFor: DiskId | undefined,
+): void => {
+	const {state, actions} = context;
+	assertInvariant(
+		term > state.durableTerm ||
+			(term === state.durableTerm &&
+				(state.durableVote === undefined || state.durableVote === votedFor)),
+		'term-and-vote-never-go-back',
+		{groupId: state.groupId, term, votedFor},
+		`durable term ${state.durableTerm}, vote ${state.durableVote}`,
+	);
+	state.term = term;
+	state.votedFor = votedFor;
+	actions.push({type: 'save-hard-state', term, votedFor});
+};
+
+/** Records the leader of the current term and asserts that it is the only one. */
+export const noteLeader = (
+	context: StepContext,
+	leader: ReplicaDescriptor,
+): void => {
+	const {state, actions} = context;
+	const known = state.leaderOfTerm;
+	assertInvariant(
+		known?.term !== state.term || known.diskId === leader.diskId,
+		'one-leader-per-term',
+		{groupId: state.groupId, term: state.term, leader},
+		`leader ${known?.diskId} is known for the same term`,
+	);
+	state.leaderOfTerm = {term: state.term, diskId: leader.diskId};
+	if (state.leader?.diskId !== leader.diskId) {
+		state.leader = leader;
+		actions.push({type: 'leader-known', term: state.term});
+	}
+};
+
+const endLeadership = (context: StepContext) => {
+	const {state, actions} = context;
+	actions.push({type: 'step-down', term: state.term});
+	for (const id of [
+		...state.waitingReads,
+		...state.pendingReads.map((read) => read.id),
+	]) {
+		actions.push({type: 'reject-read', id});
+	}
+
+	state.waitingReads = [];
+	state.pendingReads = [];
+	state.transfer = undefined;
+	state.progress.clear();
+	state.leader = undefined;
+	state.uncommittedBytes = 0;
+	resetElectionTimer(context);
+};
+
+/** Ends a leadership or candidacy and enters a later term when `term` is one. */
+export const becomeFollower = (context: StepContext, term: number): void => {
+	const {state} = context;
+	if (state.role === 'leader') {
+		endLeadership(context);
+	}
+
+	state.role = 'follower';
+	state.votes.clear();
+	if (term > state.term) {
+		state.leader = undefined;
+		saveHardState(context, term, undefined);
+	}
+};
+
+/** Queues a message for a replica. */
+export const sendMessage = (
+	context: StepContext,
+	to: ReplicaDescriptor,
+	message: RaftMessage,
+	isAfterSync: boolean,
+): void => {
+	context.actions.push({type: 'send', to, message, isAfterSync});
+};
--- /dev/null
+++ b/packages/consensus/src/replica-host.ts
@@ -0,0 +1,499 @@
+import path from 'node:path';
+import {
+	MarjoramcoveError,
+	NotLeaderError,
+	RefusedError,
+	ValidationError,
+} from '@marjoramcove/errors';
+import {
+	HistoryStream,
+	NodeFileSystem,
+	openDiskId,
+	SnapshotStore,
+	WriteAheadLog,
+} from '@marjoramcove/storage';
+import type {DaemonId, DiskId, GroupId} from '@marjoramcove/types';
+import {type Clock, SystemClock} from './clock.ts';
+import {describeGroup} from './describe-group.ts';
+import type {GroupPort} from './group-port.ts';
+import {
+	collectRecord,
+	createRecoveredLog,
+	type RecoveredLog,
+} from './log-records.ts';
+import {Outbox} from './outbox.ts';
+import {decodePeerBatch} from './peer-codec.ts';
+import {planReplicaChange} from './plan-replica-change.ts';
+import {pruneLog} from './prune-log.ts';
+import {DEFAULT_RAFT_SETTINGS, type SnapshotMeta} from './raft-types.ts';
+import {ReplicaGroup} from './replica-group.ts';
+import type {
+	GroupStatus,
+	InitialVoter,
+	Leadership,
+	ReplicaChange,
+	ReplicaHostOptions,
+} from './replica-options.ts';
+import type {StateMachine} from './state-machine.ts';
+import {stepRaft} from './step-raft.ts';
+import type {ProposalOutcome} from './waiters.ts';
+
+type Listener = (groupId: GroupId, leadership: Leadership) => void;
+
+/** Retries of a membership change that waits for another one. */
+const CHANGE_RETRY_MS = 100;
+const CHANGE_ATTEMPTS = 100;
+
+/**
+ * Runs the replicas of one disk: many groups over one write-ahead log.
+ *
+ * @example
+ * ```ts
+ * const host = await ReplicaHost.open({daemonId, folder: '/data', send});
+ * await host.addGroup(groupId, new Counter(), [{daemonId}]);
+ * const {result} = await host.propose(groupId, Buffer.from('add 1'));
+ * await host.stop();
+ * ```
+ */
+export class ReplicaHost {
+	/**
+	 * Opens the disk and reads its log.
+	 *
+	 * @throws DataCorruptionError when the log is damaged before its tail.
+	 */
+	static async open(options: ReplicaHostOptions): Promise<ReplicaHost> {
+		const fileSystem = options.fileSystem ?? new NodeFileSystem();
+		const {folder} = options;
+		const diskId = await openDiskId(fileSystem, folder, options.createDiskId);
+		const clock = options.clock ?? new SystemClock();
+		const stall = {onChange: (_isFull: boolean): void => undefined};
+		const log = await WriteAheadLog.open(fileSystem, path.join(folder, 'wal'), {
+			segmentSizeBytes: options.segmentSizeBytes,
+			waitForSpace: async () => waitOn(clock, 500),
+			onDiskFull(isFull) {
+				stall.onChange(isFull);
+			},
+		});
+		const recovered = new Map<string, RecoveredLog>();
+		await log.recover((record, segment) => {
+			collectRecord(recovered, record, segment);
+		});
+		const snapshots = await SnapshotStore.open<SnapshotMeta>(
+			fileSystem,
+			path.join(folder, 'snapshots'),
+		);
+		const host = new ReplicaHost(options, {
+			diskId,
+			clock,
+			log,
+			snapshots,
+			recovered,
+			openHistory: async (groupId) =>
+				HistoryStream.open(fileSystem, path.join(folder, 'history', groupId), {
+					waitForSpace: async () => waitOn(clock, 500),
+					onFailure(error) {
+						host.#fail(error);
+					},
+				}),
+		});
+		stall.onChange = (isFull) => {
+			host.#setStalled(isFull);
+		};
+
+		host.#startTicking();
+		return host;
+	}
+
+	/** Identity of the disk. */
+	readonly diskId: DiskId;
+	readonly daemonId: DaemonId;
+	readonly #options: ReplicaHostOptions;
+	readonly #parts: HostParts;
+	readonly #groups = new Map<GroupId, ReplicaGroup>();
+	readonly #outbox: Outbox;
+	readonly #listeners = new Set<Listener>();
+	/** Disks of daemons that asked to join, the latest one per daemon. */
+	readonly #announced = new Map<DaemonId, DiskId>();
+	#cancelTick: (() => void) | undefined;
+	#isFlushScheduled = false;
+	#isStalled = false;
+	#isStopped = false;
+	#isDraining = false;
+	#isPruning = false;
+
+	private constructor(options: ReplicaHostOptions, parts: HostParts) {
+		this.#options = options;
+		this.#parts = parts;
+		this.diskId = parts.diskId;
+		this.daemonId = options.daemonId;
+		this.#outbox = new Outbox(parts.diskId, options.send);
+	}
+
+	/** Whether the disk takes writes and the host runs. */
+	get isReady(): boolean {
+		return !this.#isStalled && !this.#isStopped;
+	}
+
+	/**
+	 * Adds a group and restores its state.
+	 *
+	 * @param initialVoters - who forms the group at its first start; empty for a replica that an
+	 * operator adds later. Ignored once the group is formed.
+	 */
+	async addGroup(
+		groupId: GroupId,
+		machine: StateMachine,
+		initialVoters: readonly InitialVoter[],
+	): Promise<void> {
+		if (this.#groups.has(groupId)) {
+			throw new ValidationError(
+				`Group ${groupId} exists.`,
+				'Add each group once.',
+			);
+		}
+
+		const {recovered, log} = this.#parts;
+		const group = await ReplicaGroup.open(this.#createPort(groupId), {
+			groupId,
+			machine,
+			initialVoters,
+			log: recovered.get(groupId) ?? createRecoveredLog(),
+			headSegment: log.firstSegment,
+		});
+		recovered.delete(groupId);
+		this.#groups.set(groupId, group);
+		group.tick();
+	}
+
+	/**
+	 * Proposes a command and resolves with the result of the state machine after the commit.
+	 *
+	 * @throws NotLeaderError (not-run) when this replica does not lead.
+	 * @throws RefusedError (not-run) when too much is uncommitted or the command is too large.
+	 * @throws CommitUnknownError (may-have-run) when the leadership ended before the commit.
+	 */
+	async propose(
+		groupId: GroupId,
+		command: Uint8Array,
+	): Promise<ProposalOutcome> {
+		const limit = this.#options.commandSizeBytes ?? 8 * 1024 * 1024;
+		if (command.length > limit) {
+			throw new RefusedError(
+				`The command has ${command.length} bytes; the limit is ${limit}.`,
+				{reason: 'command-too-large', hint: 'Send a smaller command.'},
+			);
+		}
+
+		return this.#leadingGroup(groupId).propose(command);
+	}
+
+	/**
+	 * Resolves after a majority has confirmed, since this call, that this replica leads, and after
+	 * everything committed before this call is applied.
+	 *
+	 * @throws NotLeaderError when that is not so.
+	 */
+	async readBarrier(groupId: GroupId): Promise<void> {
+		await this.#leadingGroup(groupId).readBarrier();
+	}
+
+	/** Who leads the group, as far as this replica knows. */
+	leadership(groupId: GroupId): Leadership {
+		const {state, isLeader} = this.#group(groupId);
+		return {isLeader, leaderId: state.leader?.daemonId, term: state.term};
+	}
+
+	/** Calls the listener after each change of the known leader; the result removes it. */
+	onLeadershipChange(listener: Listener): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	/** Takes a batch that the host of another daemon sent. A damaged batch is reported and dropped. */
+	receive(from: DaemonId, batch: Uint8Array): void {
+		if (this.#isStopped || this.#isStalled) {
+			return;
+		}
+
+		try {
+			const {from: diskId, to, messages} = decodePeerBatch(batch);
+			// A message for the disk that was lost must not reach the one that took its place.
+			if (to !== '' && to !== this.diskId) {
+				return;
+			}
+
+			for (const {groupId, message} of messages) {
+				if (message.type === 'form-ask') {
+					this.#announced.set(from, diskId);
+				}
+
+				this.#groups.get(groupId)?.receive({daemonId: from, diskId}, message);
+			}
+		} catch (error) {
+			if (!(error instanceof MarjoramcoveError)) {
+				throw error;
+			}
+
+			this.#report('message-rejected', {from, error: error.message});
+		}
+	}
+
+	/** State of all groups. */
+	status(): GroupStatus[] {
+		const nowMs = this.#parts.clock.nowMs();
+		return [...this.#groups.values()].map((group) =>
+			describeGroup(group, this.daemonId, nowMs),
+		);
+	}
+
+	/** Reads a range of the history stream of a group. */
+	async readHistory(
+		groupId: GroupId,
+		offset: number,
+		lengthBytes: number,
+	): Promise<Uint8Array> {
+		return this.#group(groupId).history.read(offset, lengthBytes);
+	}
+
+	/**
+	 * Changes the replicas of a group that this host leads.
+	 *
+	 * It resolves when the change is recorded. A replacement then continues by itself, also after a
+	 * change of leader: {@link GroupStatus.repair} shows its progress, and it is done when `repair` is
+	 * undefined and the lost disk is not listed any more. A repeated change has no further effect.
+	 *
+	 * @throws RefusedError when the new disk is not known or another change lasts too long.
+	 */
+	async changeReplicas(groupId: GroupId, change: ReplicaChange): Promise<void> {
+		for (let attempt = 1; ; attempt++) {
+			const group = this.#leadingGroup(groupId);
+			const planned = planReplicaChange(group.state, change, this.#announced);
+			if (!planned) {
+				return;
+			}
+
+			try {
+				await group.changeMembership(planned);
+				return;
+			} catch (error) {
+				const isBusy =
+					error instanceof RefusedError && error.reason === 'change-under-way';
+				if (!isBusy || attempt === CHANGE_ATTEMPTS) {
+					throw error;
+				}
+			}
+
+			await waitOn(this.#parts.clock, CHANGE_RETRY_MS);
+		}
+	}
+
+	/**
+	 * Gives all leaderships away. It resolves when this host leads no group, which takes until
+	 * another voter of each group is live.
+	 */
+	async drain(): Promise<void> {
+		this.#isDraining = true;
+		for (;;) {
+			let isLeading = false;
+			for (const group of this.#groups.values()) {
+				group.drain();
+				const {voters} = group.state.memberships.at(-1)!.membership;
+				isLeading ||= group.isLeader && voters.length > 1;
+			}
+
+			if (!isLeading || this.#isStopped) {
+				return;
+			}
+
+			await waitOn(this.#parts.clock, DEFAULT_RAFT_SETTINGS.heartbeatMs);
+		}
+	}
+
+	/** Stops at once; waiting proposals are rejected. Closes the files after pending writes. */
+	async stop(): Promise<void> {
+		this.#halt();
+		await this.#parts.log.close();
+		for (const group of this.#groups.values()) {
+			await group.history.close();
+		}
+	}
+
+	#halt() {
+		this.#isStopped = true;
+		this.#cancelTick?.();
+		this.#outbox.clear();
+		for (const group of this.#groups.values()) {
+			group.stop();
+		}
+	}
+
+	#group(groupId: GroupId) {
+		const group = this.#groups.get(groupId);
+		if (!group) {
+			throw new RefusedError(`This host has no group ${groupId}.`, {
+				reason: 'group-unknown',
+				hint: `Known groups: ${[...this.#groups.keys()].join(', ')}.`,
+			});
+		}
+
+		return group;
+	}
+
+	#leadingGroup(groupId: GroupId) {
+		const group = this.#group(groupId);
+		if (!group.isLeader || this.#isStopped || this.#isStalled) {
+			throw new NotLeaderError(groupId, group.state.leader?.daemonId);
+		}
+
+		return group;
+	}
+
+	#createPort(groupId: GroupId): GroupPort {
+		const {clock, log, snapshots, openHistory} = this.#parts;
+		const options = this.#options;
+		return {
+			self: {daemonId: this.daemonId, diskId: this.diskId},
+			clock,
+			random: options.random ?? Math.random,
+			settings: {...DEFAULT_RAFT_SETTINGS, ...options.raft},
+			snapshotEveryEntries: options.snapshotEveryEntries ?? 10_000,
+			snapshotEveryBytes: options.snapshotEveryBytes ?? 16 * 1024 * 1024,
+			step: options.step ?? stepRaft,
+			snapshots,
+			openHistory: async () => openHistory(groupId),
+			append: async (records) => log.append(records),
+			send: (to, message) => {
+				this.#outbox.add(to, groupId, message);
+				this.#scheduleFlush();
+			},
+			scheduleFlush: () => {
+				this.#scheduleFlush();
+			},
+			leadershipChanged: () => {
+				this.#notifyLeadership(groupId);
+			},
+			snapshotSaved: () => {
+				this.#noteSnapshot(groupId);
+			},
+			fail: (error) => {
+				this.#fail(error);
+			},
+			report: (event, fields) => {
+				this.#report(event, fields);
+			},
+		};
+	}
+
+	#startTicking() {
+		const {heartbeatMs} = {...DEFAULT_RAFT_SETTINGS, ...this.#options.raft};
+		const tick = () => {
+			if (this.#isStopped) {
+				return;
+			}
+
+			this.#cancelTick = this.#parts.clock.startTimer(heartbeatMs / 2, tick);
+			for (const group of this.#groups.values()) {
+				group.tick();
+			}
+		};
+
+		this.#cancelTick = this.#parts.clock.startTimer(heartbeatMs / 2, tick);
+	}
+
+	#scheduleFlush() {
+		if (!this.#isFlushScheduled && !this.#isStopped) {
+			this.#isFlushScheduled = true;
+			this.#parts.clock.defer(() => {
+				this.#isFlushScheduled = false;
+				this.#flush();
+			});
+		}
+	}
+
+	#flush() {
+		if (this.#isStopped) {
+			return;
+		}
+
+		for (const group of this.#groups.values()) {
+			group.flush();
+		}
+
+		this.#outbox.flush();
+	}
+
+	#notifyLeadership(groupId: GroupId) {
+		// Deferred, because a listener may call the host while a step is being carried out.
+		this.#parts.clock.defer(() => {
+			if (this.#isStopped) {
+				return;
+			}
+
+			const leadership = this.leadership(groupId);
+			for (const listener of this.#listeners) {
+				listener(groupId, leadership);
+			}
+		});
+	}
+
+	#noteSnapshot(groupId: GroupId) {
+		const group = this.#groups.get(groupId);
+		if (group?.snapshotMeta && !this.#isStopped) {
+			group.step({type: 'snapshot-taken', index: group.snapshotMeta.index});
+			void this.#prune();
+		}
+	}
+
+	async #prune() {
+		const {log, recovered} = this.#parts;
+		// Records of a group that is not added yet are still needed.
+		if (this.#isPruning || recovered.size > 0) {
+			return;
+		}
+
+		this.#isPruning = true;
+		try {
+			await pruneLog(log, [...this.#groups.values()]);
+		} catch (error) {
+			this.#fail(error);
+		} finally {
+			this.#isPruning = false;
+		}
+	}
+
+	#setStalled(isStalled: boolean) {
+		this.#isStalled = isStalled;
+		this.#report(isStalled ? 'disk-full' : 'disk-usable', {});
+		for (const group of this.#groups.values()) {
+			group.step({type: 'storage-stalled', isStalled});
+		}
+	}
+
+	#fail(error: unknown) {
+		if (!this.#isStopped) {
+			this.#halt();
+			this.#options.onFatal?.(error);
+		}
+	}
+
+	#report(event: string, fields: Record<string, unknown>) {
+		this.#options.onEvent?.(event, fields);
+	}
+}
+
+type HostParts = {
+	diskId: DiskId;
+	clock: Clock;
+	log: WriteAheadLog;
+	snapshots: SnapshotStore<SnapshotMeta>;
+	/** Logs of groups that are not added yet. */
+	recovered: Map<string, RecoveredLog>;
+	openHistory: (groupId: GroupId) => Promise<HistoryStream>;
+};
+
+const waitOn = async (clock: Clock, delayMs: number) =>
+	new Promise<void>((resolve) => {
+		clock.startTimer(delayMs, resolve);
+	});
--- /dev/null
+++ b/packages/consensus/src/replica-options.ts
@@ -0,0 +1,99 @@
+import type {FileSystem} from '@marjoramcove/storage';
+import type {DaemonId, DiskId, GroupId} from '@marjoramcove/types';
+import type {Clock} from './clock.ts';
+import type {RaftRole, RaftSettings} from './raft-types.ts';
+import type {stepRaft} from './step-raft.ts';
+
+/** Settings of a {@link ReplicaHost}. */
+export type ReplicaHostOptions = {
+	daemonId: DaemonId;
+	/** Folder of the disk: identity, log, snapshots and histories. */
+	folder: string;
+	/** Sends a batch to the host of another daemon; it may lose it. */
+	send: (to: DaemonId, batch: Uint8Array) => void;
+	/** Default: the file system of the operating system. */
+	fileSystem?: FileSystem;
+	/** Default: the monotonic clock of the process. */
+	clock?: Clock;
+	/** Uniform in [0, 1). Default: `Math.random`. */
+	random?: () => number;
+	raft?: Partial<RaftSettings>;
+	/** A snapshot is taken after this many entries. Default 10,000. */
+	snapshotEveryEntries?: number;
+	/** A snapshot is taken after this many bytes of entries. Default 16 MiB. */
+	snapshotEveryBytes?: number;
+	/** Size of a segment of the write-ahead log. Default 16 MiB. */
+	segmentSizeBytes?: number;
+	/** Largest command. Default 8 MiB. */
+	commandSizeBytes?: number;
+	/** Called once when the host cannot continue: the process must stop. */
+	onFatal?: (error: unknown) => void;
+	/** Called on events worth a log line. */
+	onEvent?: (event: string, fields: Record<string, unknown>) => void;
+	/** The protocol; tests wrap it to inject faults. */
+	step?: typeof stepRaft;
+	/** Creates the identity of an empty disk. Default: a random one. */
+	createDiskId?: () => string;
+};
+
+/** An initial voter. Without `diskId` the first start of all initial voters forms the group. */
+export type InitialVoter = {daemonId: DaemonId; diskId?: DiskId};
+
+/** A change of the replicas of a group. */
+export type ReplicaChange =
+	/** Puts a replica on the disk of `newDaemonId` in the place of the one of `lostDaemonId`. */
+	| {
+			type: 'replace';
+			lostDaemonId: DaemonId;
+			newDaemonId: DaemonId;
+			/** Default: the disk that announced itself. */
+			newDiskId?: DiskId;
+	  }
+	| {type: 'add'; daemonId: DaemonId; diskId?: DiskId}
+	| {type: 'remove'; daemonId: DaemonId};
+
+/** Who leads a group, as this replica knows it. */
+export type Leadership = {
+	isLeader: boolean;
+	leaderId: DaemonId | undefined;
+	term: number;
+};
+
+/** State of one replica as its leader, or the replica itself, sees it. */
+export type ReplicaStatus = {
+	daemonId: DaemonId;
+	diskId: DiskId;
+	role: 'learner' | 'voter';
+	/** Only the leader knows the following fields. */
+	matchIndex?: number;
+	lagEntries?: number;
+	isLive?: boolean;
+};
+
+/** Progress of the replacement of a replica; only the leader knows it. */
+export type RepairStatus = {
+	lostDiskId: DiskId;
+	newDaemonId: DaemonId;
+	newDiskId: DiskId;
+	phase: 'catching-up' | 'copying' | 'removing';
+	/** Share of the entries, or of the copied bytes, that the new replica has; 0 to 1. */
+	progress: number;
+};
+
+/** State of a group on this host. */
+export type GroupStatus = {
+	groupId: GroupId;
+	diskId: DiskId;
+	role: RaftRole | 'none';
+	/** Whether the replica can take part: it belongs to the group and its disk takes writes. */
+	isReady: boolean;
+	leaderId: DaemonId | undefined;
+	term: number;
+	lastIndex: number;
+	commitIndex: number;
+	appliedIndex: number;
+	snapshotIndex: number;
+	historyBytes: number;
+	replicas: ReplicaStatus[];
+	repair: RepairStatus | undefined;
+};
--- /dev/null
+++ b/packages/consensus/src/replicate.ts
@@ -0,0 +1,185 @@
+import type {ReplicaDescriptor} from './membership.ts';
+import {currentMembership, sendMessage} from './raft-state.ts';
+import type {
+	LogEntry,
+	Progress,
+	RaftMessage,
+	RaftState,
+	StepContext,
+} from './raft-types.ts';
+
+type AppendResponse = Extract<RaftMessage, {type: 'append-response'}>;
+
+const takeEntries = (state: RaftState, first: number) => {
+	const entries: LogEntry[] = [];
+	let sizeBytes = 0;
+	for (let index = first; index <= state.log.lastIndex; index++) {
+		const entry = state.log.at(index)!;
+		sizeBytes += entry.command.length + 32;
+		if (entries.length > 0 && sizeBytes > state.settings.appendSizeBytes) {
+			break;
+		}
+
+		entries.push(entry);
+	}
+
+	return entries;
+};
+
+const sendAppend = (
+	context: StepContext,
+	replica: ReplicaDescriptor,
+	progress: Progress,
+) => {
+	const {state, nowMs} = context;
+	const previousIndex = progress.nextIndex - 1;
+	const entries = takeEntries(state, progress.nextIndex);
+	if (progress.inFlight.length === 0) {
+		progress.waitingSinceMs = nowMs;
+	}
+
+	const lastIndex = previousIndex + entries.length;
+	progress.inFlight.push(lastIndex);
+	if (progress.mode === 'replicate') {
+		progress.nextIndex = lastIndex + 1;
+	}
+
+	progress.sentCommitIndex = Math.max(
+		progress.sentCommitIndex,
+		Math.min(state.commitIndex, lastIndex),
+	);
+	sendMessage(
+		context,
+		replica,
+		{
+			type: 'append',
+			term: state.term,
+			previousIndex,
+			previousTerm: state.log.termAt(previousIndex)!,
+			commitIndex: state.commitIndex,
+			entries,
+		},
+		// A leader may replicate before its own disk is done, because it counts itself only after that.
+		false,
+	);
+};
+
+const offerSnapshot = (
+	context: StepContext,
+	replica: ReplicaDescriptor,
+	progress: Progress,
+) => {
+	progress.mode = 'snapshot';
+	progress.waitingSinceMs = context.nowMs;
+	progress.inFlight = [];
+	context.actions.push({type: 'offer-snapshot', to: replica});
+};
+
+/** Sends what the replica lacks, as far as the flow control allows. */
+export const replicateTo = (
+	context: StepContext,
+	replica: ReplicaDescriptor,
+): void => {
+	const {state} = context;
+	const progress = state.progress.get(replica.diskId);
+	if (!progress || progress.mode === 'snapshot') {
+		return;
+	}
+
+	if (progress.nextIndex <= state.log.baseIndex) {
+		offerSnapshot(context, replica, progress);
+		return;
+	}
+
+	if (progress.mode === 'probe') {
+		if (progress.inFlight.length === 0) {
+			sendAppend(context, replica, progress);
+		}
+
+		return;
+	}
+
+	while (
+		progress.nextIndex <= state.log.lastIndex &&
+		progress.inFlight.length < state.settings.appendsInFlight
+	) {
+		sendAppend(context, replica, progress);
+	}
+};
+
+/** Sends to each other replica what it lacks. */
+export const replicateToAll = (context: StepContext): void => {
+	const {voters, learners} = currentMembership(context.state);
+	for (const replica of [...voters, ...learners]) {
+		replicateTo(context, replica);
+	}
+};
+
+/** Sends again what has stayed unanswered for longer than the shortest election timeout. */
+export const retryReplication = (context: StepContext): void => {
+	const {state, nowMs} = context;
+	const {voters, learners} = currentMembership(state);
+	for (const replica of [...voters, ...learners]) {
+		const progress = state.progress.get(replica.diskId);
+		const isWaiting =
+			progress &&
+			(progress.mode === 'snapshot' || progress.inFlight.length > 0);
+		if (
+			!isWaiting ||
+			nowMs - progress.waitingSinceMs < state.settings.electionTimeoutMinMs / 2
+		) {
+			continue;
+		}
+
+		progress.mode = 'probe';
+		progress.inFlight = [];
+		progress.nextIndex = progress.matchIndex + 1;
+		replicateTo(context, replica);
+	}
+};
+
+/** Updates what is known of a replica; returns whether its matching prefix has grown. */
+export const noteAppendResponse = (
+	context: StepContext,
+	from: ReplicaDescriptor,
+	response: AppendResponse,
+): boolean => {
+	const {state, nowMs} = context;
+	const progress = state.progress.get(from.diskId)!;
+	if (!response.isAccepted) {
+		if (response.index <= progress.matchIndex || progress.mode === 'snapshot') {
+			return false;
+		}
+
+		progress.mode = 'probe';
+		progress.inFlight = [];
+		progress.nextIndex =
+			Math.max(
+				progress.matchIndex,
+				Math.min(response.hintIndex, response.index - 1),
+			) + 1;
+		return false;
+	}
+
+	const hasGrown = response.index > progress.matchIndex;
+	if (hasGrown) {
+		progress.matchIndex = response.index;
+		progress.waitingSinceMs = nowMs;
+	}
+
+	if (progress.mode !== 'replicate') {
+		if (progress.matchIndex < state.log.baseIndex) {
+			return hasGrown;
+		}
+
+		progress.mode = 'replicate';
+		progress.inFlight = [];
+		progress.nextIndex = progress.matchIndex + 1;
+	}
+
+	progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+	progress.inFlight = progress.inFlight.filter(
+		(lastIndex) => lastIndex > response.index,
+	);
+	return hasGrown;
+};
--- /dev/null
+++ b/packages/consensus/src/transfer.ts
@@ -0,0 +1,49 @@
+import {currentMembership, sendMessage} from './raft-state.ts';
+import type {StepContext} from './raft-types.ts';
+
+/** Hands the leadership to the live voter that has the most entries. */
+export const startTransfer = (context: StepContext): void => {
+	const {state, nowMs} = context;
+	if (state.role !== 'leader' || state.transfer) {
+		return;
+	}
+
+	const candidates = currentMembership(state)
+		.voters.map((voter) => ({
+			voter,
+			progress: state.progress.get(voter.diskId),
+		}))
+		.filter(
+			({progress}) =>
+				progress &&
+				nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs,
+		)
+		.toSorted((a, b) => b.progress!.matchIndex - a.progress!.matchIndex);
+	const target = candidates[0]?.voter;
+	if (target) {
+		state.transfer = {
+			to: target.diskId,
+			dueMs: nowMs + state.settings.electionTimeoutMinMs,
+		};
+		continueTransfer(context);
+	}
+};
+
+/** Tells the chosen voter to take over once it has the whole log. */
+export const continueTransfer = (context: StepContext): void => {
+	const {state} = context;
+	const target = currentMembership(state).voters.find(
+		(voter) => voter.diskId === state.transfer?.to,
+	);
+	if (
+		target &&
+		state.progress.get(target.diskId)?.matchIndex === state.log.lastIndex
+	) {
+		sendMessage(
+			context,
+			target,
+			{type: 'timeout-now', term: state.term},
+			false,
+		);
+	}
+};
--- /dev/null
+++ b/packages/consensus/src/waiters.ts
@@ -0,0 +1,115 @@
+import {
+	CommitUnknownError,
+	NotLeaderError,
+	RefusedError,
+} from '@marjoramcove/errors';
+import type {DaemonId, GroupId} from '@marjoramcove/types';
+import type {RaftAction} from './raft-types.ts';
+
+type Settle<Value> = {
+	resolve: (value: Value) => void;
+	reject: (error: unknown) => void;
+};
+
+/** Outcome of a committed proposal. */
+export type ProposalOutcome = {index: number; result: unknown};
+
+/**
+ * The callers that wait for proposals and reads of one group.
+ */
+export class Waiters {
+	readonly #groupId: GroupId;
+	#nextId = 0;
+	/** Proposals that are not in the log yet. */
+	readonly #proposals = new Map<number, Settle<ProposalOutcome>>();
+	/** Proposals in the log by index. */
+	readonly #appended = new Map<
+		number,
+		Settle<ProposalOutcome> & {term: number}
+	>();
+
+	readonly #reads = new Map<number, Settle<void>>();
+
+	constructor(groupId: GroupId) {
+		this.#groupId = groupId;
+	}
+
+	addProposal(settle: Settle<ProposalOutcome>): number {
+		this.#nextId += 1;
+		this.#proposals.set(this.#nextId, settle);
+		return this.#nextId;
+	}
+
+	addRead(settle: Settle<void>): number {
+		this.#nextId += 1;
+		this.#reads.set(this.#nextId, settle);
+		return this.#nextId;
+	}
+
+	noteAppended(id: number, index: number, term: number): void {
+		const settle = this.#proposals.get(id);
+		if (settle) {
+			this.#proposals.delete(id);
+			this.#appended.set(index, {...settle, term});
+		}
+	}
+
+	/** Rejects a proposal that was not appended, or a read. */
+	refuse(
+		action: Extract<RaftAction, {type: 'reject-proposal' | 'reject-read'}>,
+		leaderId: DaemonId | undefined,
+	): void {
+		const {id} = action;
+		const settle = this.#proposals.get(id) ?? this.#reads.get(id);
+		this.#proposals.delete(id);
+		this.#reads.delete(id);
+		const reason = action.type === 'reject-read' ? 'not-leader' : action.reason;
+		settle?.reject(
+			reason === 'not-leader'
+				? new NotLeaderError(this.#groupId, leaderId)
+				: new RefusedError(
+						`Group ${this.#groupId} refused the proposal: ${reason}.`,
+						{reason, hint: 'Retry after a while.'},
+					),
+		);
+	}
+
+	/** Settles the proposal at an index that has been applied. */
+	settleApplied(index: number, term: number, result: unknown): void {
+		const settle = this.#appended.get(index);
+		if (!settle) {
+			return;
+		}
+
+		this.#appended.delete(index);
+		if (settle.term === term) {
+			settle.resolve({index, result});
+		} else {
+			// Another entry is committed at this index, so the proposal can never be.
+			settle.reject(new NotLeaderError(this.#groupId));
+		}
+	}
+
+	settleRead(id: number): void {
+		this.#reads.get(id)?.resolve();
+		this.#reads.delete(id);
+	}
+
+	/** Ends all waits: what is in the log may still be committed, the rest was not appended. */
+	rejectAll(): void {
+		for (const {reject} of this.#appended.values()) {
+			reject(new CommitUnknownError(this.#groupId));
+		}
+
+		for (const {reject} of [
+			...this.#proposals.values(),
+			...this.#reads.values(),
+		]) {
+			reject(new NotLeaderError(this.#groupId));
+		}
+
+		this.#appended.clear();
+		this.#proposals.clear();
+		this.#reads.clear();
+	}
+}
--- /dev/null
+++ b/packages/storage/src/history-stream.ts
@@ -0,0 +1,303 @@
+import path from 'node:path';
+import {DataCorruptionError, ValidationError} from '@marjoramcove/errors';
+import {type FileSystem, isDiskFull, type OpenFile} from './file-system.ts';
+
+/** Settings of a {@link HistoryStream}. */
+export type HistoryStreamOptions = {
+	/** A new segment begins when the current one has reached this size. Default 64 MiB. */
+	segmentSizeBytes?: number;
+	/** Waits before bytes are written again after the disk was full. */
+	waitForSpace?: () => Promise<void>;
+	/** Called when a write in the background failed; the stream is unusable afterwards. */
+	onFailure?: (error: unknown) => void;
+};
+
+type Segment = {start: number; file: OpenFile};
+
+const SEGMENT_PATTERN = /^history-(\d{16})\.bytes$/u;
+const DISK_FULL_RETRY_MS = 500;
+
+const segmentName = (start: number) =>
+	`history-${String(start).padStart(16, '0')}.bytes`;
+
+const waitHalfSecond = async () =>
+	new Promise<void>((resolve) => {
+		setTimeout(resolve, DISK_FULL_RETRY_MS).unref();
+	});
+
+/**
+ * An append-only stream of bytes with logical offsets, stored in segment files.
+ *
+ * Appended bytes are written in the background and are durable after {@link HistoryStream.sync}. The
+ * stream holds no checksums: the reader keeps offset, length and hash of each entry.
+ *
+ * @example
+ * ```ts
+ * const stream = await HistoryStream.open(fileSystem, '/data/history/shard-0');
+ * const offset = stream.append(Buffer.from('hello'));
+ * await stream.sync();
+ * const bytes = await stream.read(offset, 5);
+ * ```
+ */
+export class HistoryStream {
+	/**
+	 * Opens the stream. Its length is what the segment files hold.
+	 *
+	 * @throws DataCorruptionError when a segment in the middle is shorter than its range.
+	 */
+	static async open(
+		fileSystem: FileSystem,
+		folder: string,
+		options: HistoryStreamOptions = {},
+	): Promise<HistoryStream> {
+		await fileSystem.makeFolder(folder);
+		const segments: Segment[] = [];
+		let end = 0;
+		for (const name of await fileSystem.list(folder)) {
+			const match = SEGMENT_PATTERN.exec(name);
+			if (!match) {
+				continue;
+			}
+
+			const start = Number(match[1]);
+			const previous = segments.at(-1);
+			if (previous && start !== end) {
+				// A crash can lose the end of a segment that was not synced; what follows it is lost too.
+				await fileSystem.remove(path.join(folder, name));
+				continue;
+			}
+
+			const file = await fileSystem.open(path.join(folder, name));
+			segments.push({start, file});
+			end = start + (await file.size());
+		}
+
+		return new HistoryStream({fileSystem, folder, segments, end}, options);
+	}
+
+	readonly #fileSystem: FileSystem;
+	readonly #folder: string;
+	readonly #segmentSizeBytes: number;
+	readonly #waitForSpace: () => Promise<void>;
+	readonly #onFailure: (error: unknown) => void;
+	#segments: Segment[];
+	/** Length of the part that has been handed to the file system. */
+	#writtenBytes: number;
+	#lengthBytes: number;
+	#buffered: Uint8Array[] = [];
+	readonly #unsynced = new Set<OpenFile>();
+	#writing: Promise<void> | undefined;
+	#failure: unknown;
+	#isClosed = false;
+
+	private constructor(
+		opened: {
+			fileSystem: FileSystem;
+			folder: string;
+			segments: Segment[];
+			end: number;
+		},
+		options: HistoryStreamOptions,
+	) {
+		this.#fileSystem = opened.fileSystem;
+		this.#folder = opened.folder;
+		this.#segments = opened.segments;
+		this.#writtenBytes = opened.end;
+		this.#lengthBytes = opened.end;
+		this.#segmentSizeBytes = options.segmentSizeBytes ?? 64 * 1024 * 1024;
+		this.#waitForSpace = options.waitForSpace ?? waitHalfSecond;
+		this.#onFailure = options.onFailure ?? (() => undefined);
+	}
+
+	/** Logical length, which includes bytes that are not written yet. */
+	get lengthBytes(): number {
+		return this.#lengthBytes;
+	}
+
+	/** Appends bytes and returns their logical offset. The caller must not change them afterwards. */
+	append(bytes: Uint8Array): number {
+		const offset = this.#lengthBytes;
+		if (bytes.length > 0) {
+			this.#lengthBytes += bytes.length;
+			this.#buffered.push(bytes);
+			this.#writing ??= this.#writeBuffered();
+		}
+
+		return offset;
+	}
+
+	/** Makes all bytes appended so far durable. */
+	async sync(): Promise<void> {
+		await this.#flush();
+		const files = [...this.#unsynced];
+		this.#unsynced.clear();
+		for (const file of files) {
+			try {
+				await file.sync();
+			} catch (error) {
+				this.#failure = error;
+				throw error;
+			}
+		}
+	}
+
+	/**
+	 * Reads a range.
+	 *
+	 * @throws ValidationError when the range is outside of the stream.
+	 */
+	async read(offset: number, lengthBytes: number): Promise<Uint8Array> {
+		if (
+			offset < 0 ||
+			lengthBytes < 0 ||
+			offset + lengthBytes > this.#lengthBytes
+		) {
+			throw new ValidationError(
+				`The range ${offset}+${lengthBytes} is outside of the history of ${this.#lengthBytes} bytes.`,
+				'Read a range that the history entries name.',
+			);
+		}
+
+		if (offset + lengthBytes > this.#writtenBytes) {
+			await this.#flush();
+		}
+
+		const parts: Uint8Array[] = [];
+		let position = offset;
+		const end = offset + lengthBytes;
+		while (position < end) {
+			const part = await this.#readPart(position, end);
+			parts.push(part);
+			position += part.length;
+		}
+
+		return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+	}
+
+	/**
+	 * Removes everything from the logical offset on.
+	 *
+	 * @throws DataCorruptionError when the stream is shorter than that.
+	 */
+	async truncate(lengthBytes: number): Promise<void> {
+		await this.#flush();
+		if (lengthBytes > this.#lengthBytes) {
+			throw new DataCorruptionError(
+				path.join(this.#folder, segmentName(this.#segments.at(-1)?.start ?? 0)),
+				this.#lengthBytes,
+				`the history ends before offset ${lengthBytes}, which a snapshot refers to`,
+			);
+		}
+
+		while (this.#segments.length > 0) {
+			const last = this.#segments.at(-1)!;
+			if (last.start < lengthBytes) {
+				await last.file.truncate(lengthBytes - last.start);
+				this.#unsynced.add(last.file);
+				break;
+			}
+
+			await last.file.close();
+			this.#unsynced.delete(last.file);
+			await this.#fileSystem.remove(
+				path.join(this.#folder, segmentName(last.start)),
+			);
+			this.#segments.pop();
+		}
+
+		await this.#fileSystem.syncFolder(this.#folder);
+		this.#lengthBytes = lengthBytes;
+		this.#writtenBytes = lengthBytes;
+	}
+
+	/** Writes what is buffered and closes the files. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		await this.#writing;
+		for (const segment of this.#segments) {
+			await segment.file.close();
+		}
+
+		this.#segments = [];
+	}
+
+	async #flush() {
+		while (this.#writing) {
+			await this.#writing;
+		}
+
+		if (this.#failure) {
+			throw this.#failure as Error;
+		}
+	}
+
+	async #readPart(position: number, end: number) {
+		const segment = this.#segments.findLast(({start}) => start <= position)!;
+		const next = this.#segments.find(({start}) => start > position);
+		const partEnd = Math.min(end, next?.start ?? end);
+		const part = await segment.file.read(
+			position - segment.start,
+			partEnd - position,
+		);
+		if (part.length < partEnd - position) {
+			throw new DataCorruptionError(
+				path.join(this.#folder, segmentName(segment.start)),
+				position - segment.start + part.length,
+				'the segment ends too early',
+			);
+		}
+
+		return part;
+	}
+
+	async #writeBuffered() {
+		await Promise.resolve();
+		while (this.#buffered.length > 0 && !this.#failure) {
+			const chunks = this.#buffered;
+			this.#buffered = [];
+			const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			try {
+				await this.#write(bytes);
+				this.#writtenBytes += bytes.length;
+			} catch (error) {
+				this.#failure = error;
+				this.#onFailure(error);
+			}
+		}
+
+		this.#writing = undefined;
+	}
+
+	async #write(bytes: Uint8Array) {
+		for (;;) {
+			try {
+				const segment = await this.#openSegment();
+				await segment.file.write(bytes, this.#writtenBytes - segment.start);
+				this.#unsynced.add(segment.file);
+				return;
+			} catch (error) {
+				if (!isDiskFull(error) || this.#isClosed) {
+					throw error;
+				}
+
+				await this.#waitForSpace();
+			}
+		}
+	}
+
+	async #openSegment() {
+		const last = this.#segments.at(-1);
+		if (last && this.#writtenBytes - last.start < this.#segmentSizeBytes) {
+			return last;
+		}
+
+		const start = this.#writtenBytes;
+		const file = await this.#fileSystem.open(
+			path.join(this.#folder, segmentName(start)),
+		);
+		await this.#fileSystem.syncFolder(this.#folder);
+		const segment = {start, file};
+		this.#segments.push(segment);
+		return segment;
+	}
+}
--- /dev/null
+++ b/packages/storage/src/node-file-system.ts
@@ -0,0 +1,132 @@
+import {
+	type FileHandle,
+	mkdir,
+	open,
+	readdir,
+	readFile,
+	rename,
+	rm,
+} from 'node:fs/promises';
+import {constants} from 'node:fs';
+import path from 'node:path';
+import {FileSystem, OpenFile} from './file-system.ts';
+
+class NodeOpenFile extends OpenFile {
+	readonly #handle: FileHandle;
+
+	constructor(handle: FileHandle) {
+		super();
+		this.#handle = handle;
+	}
+
+	override async write(bytes: Uint8Array, position: number) {
+		let written = 0;
+		while (written < bytes.length) {
+			const {bytesWritten} = await this.#handle.write(
+				bytes,
+				written,
+				bytes.length - written,
+				position + written,
+			);
+			written += bytesWritten;
+		}
+	}
+
+	override async read(position: number, lengthBytes: number) {
+		const buffer = Buffer.allocUnsafe(lengthBytes);
+		let filled = 0;
+		while (filled < lengthBytes) {
+			const {bytesRead} = await this.#handle.read(
+				buffer,
+				filled,
+				lengthBytes - filled,
+				position + filled,
+			);
+			if (bytesRead === 0) {
+				break;
+			}
+
+			filled += bytesRead;
+		}
+
+		return buffer.subarray(0, filled);
+	}
+
+	override async sync() {
+		await this.#handle.datasync();
+	}
+
+	override async truncate(sizeBytes: number) {
+		await this.#handle.truncate(sizeBytes);
+	}
+
+	override async size() {
+		const {size} = await this.#handle.stat();
+		return size;
+	}
+
+	override async close() {
+		await this.#handle.close();
+	}
+}
+
+const isMissing = (error: unknown) =>
+	(error as {code?: unknown} | undefined)?.code === 'ENOENT';
+
+/**
+ * The file system of the operating system.
+ *
+ * @example
+ * ```ts
+ * const log = await WriteAheadLog.open(new NodeFileSystem(), '/var/lib/marjoramcove/wal');
+ * ```
+ */
+export class NodeFileSystem extends FileSystem {
+	override async makeFolder(folder: string) {
+		await mkdir(folder, {recursive: true});
+		await this.syncFolder(path.dirname(folder));
+	}
+
+	override async list(folder: string) {
+		const entries = await readdir(folder, {withFileTypes: true});
+		return entries
+			.filter((entry) => entry.isFile())
+			.map((entry) => entry.name)
+			.toSorted();
+	}
+
+	override async open(file: string) {
+		// eslint-disable-next-line no-bitwise
+		const flags = constants.O_RDWR | constants.O_CREAT;
+		return new NodeOpenFile(await open(file, flags, 0o640));
+	}
+
+	override async readFile(file: string) {
+		try {
+			return await readFile(file);
+		} catch (error) {
+			if (isMissing(error)) {
+				return undefined;
+			}
+
+			throw error;
+		}
+	}
+
+	override async rename(from: string, to: string) {
+		await rename(from, to);
+	}
+
+	override async remove(file: string) {
+		await rm(file, {force: true});
+	}
+
+	override async syncFolder(folder: string) {
+		const handle = await open(folder, 'r');
+		try {
+			await handle.sync();
+		} finally {
+			await handle.close();
+		}
+	}
+}
