--- /dev/null
+++ b/packages/engine-control/src/fencing-model.fixture.ts
@@ -0,0 +1,190 @@
+import {asId, type UpstreamId} from '@marjoramcove/types';
+import type {ControllerAction, ControllerEvent} from './events.ts';
+import {SimulatedEngine} from './simulated-engine.fixture.ts';
+import {
+	agrees,
+	type ControllerState,
+	createControllerState,
+	type EngineState,
+	stepController,
+} from './index.ts';
+
+/** Deliberate faults of the harness; each must be detected. */
+export type FencingFault =
+	| 'engine-forgets-fencing'
+	| 'leader-ignores-lease'
+	| 'leader-skips-wait'
+	| 'leader-stops-reading';
+
+/** What happens in one step of 200 ms; `delay` and `luck` are fractions. */
+export type FencingStep = {
+	event: 'none' | 'change-leader' | 'restart-engine';
+	delay: number;
+	luck: number;
+};
+
+const STEP_MS = 200;
+const QUIET_STEPS = 300;
+const upstreamId = asId<UpstreamId>('engine-1');
+
+const desiredOf = (fencingNumber: number): EngineState => ({
+	models: ['agent-large'],
+	adapters: [],
+	version: String(fencingNumber),
+	role: 'mixed',
+});
+
+/** Two controllers with clocks at both ends of the drift, one engine, a network with delays. */
+export class FencingModel {
+	readonly #engine: SimulatedEngine;
+	readonly #controllers: ControllerState[];
+	readonly #fault: FencingFault | undefined;
+	readonly #checksFencing: boolean;
+	#messages: Array<{atMs: number; run: () => void}> = [];
+	#fencingNumber = 0;
+	#nowMs = 0;
+
+	constructor(checksFencing: boolean, fault?: FencingFault) {
+		this.#fault = fault;
+		this.#checksFencing = checksFencing;
+		this.#engine = new SimulatedEngine(
+			upstreamId,
+			checksFencing && fault !== 'engine-forgets-fencing',
+		);
+		this.#controllers = [0, 1].map(() =>
+			createControllerState({
+				loadIntervalMs: 1000,
+				loadTimeoutMs: 5000,
+				readIntervalMs: fault === 'leader-stops-reading' ? 1e9 : 2000,
+			}),
+		);
+		this.#changeLeader();
+	}
+
+	/** Runs the steps and then a quiet time; returns what went wrong. */
+	run(steps: FencingStep[]): string[] {
+		for (const step of steps) {
+			if (step.event === 'change-leader') {
+				this.#changeLeader();
+			} else if (step.event === 'restart-engine') {
+				this.#engine.state = {...this.#engine.state, version: 'restarted'};
+			}
+
+			this.#advance(step);
+		}
+
+		for (let index = 0; index < QUIET_STEPS; index++) {
+			if (index === QUIET_STEPS / 2) {
+				this.#engine.state = {...this.#engine.state, version: 'restarted'};
+			}
+
+			this.#advance({event: 'none', delay: 0, luck: 0.5});
+		}
+
+		const {ran, state} = this.#engine;
+		const isOrdered = ran.every(
+			(number, index) => index === 0 || number >= ran[index - 1]!,
+		);
+		return [
+			...(isOrdered ? [] : [`old order after a new one: ${ran.join(' ')}`]),
+			...(agrees(state, desiredOf(this.#fencingNumber))
+				? []
+				: [`engine ends at ${JSON.stringify(state)}`]),
+		];
+	}
+
+	/** Local clock: the first controller's is fast, the second one's slow, by half the drift each. */
+	#clock(index: number): number {
+		return this.#nowMs * (index === 0 ? 1.005 : 0.995) + index * 1000;
+	}
+
+	#changeLeader(): void {
+		this.#fencingNumber++;
+		const index = this.#fencingNumber % 2;
+		const state = this.#controllers[index]!;
+		this.#deliver(index, {
+			type: 'leadership-started',
+			fencingNumber: this.#fencingNumber,
+		});
+		this.#deliver(index, {
+			type: 'engines',
+			engines: [
+				{
+					upstreamId,
+					checksFencing: this.#checksFencing,
+					desired: desiredOf(this.#fencingNumber),
+				},
+			],
+		});
+		if (this.#fault === 'leader-skips-wait') {
+			state.unfencedFromMs = Number.NEGATIVE_INFINITY;
+		}
+	}
+
+	#advance(step: FencingStep): void {
+		this.#nowMs += STEP_MS;
+		const due = this.#messages.filter(({atMs}) => atMs <= this.#nowMs);
+		this.#messages = this.#messages.filter(({atMs}) => atMs > this.#nowMs);
+		for (const message of due) {
+			message.run();
+		}
+
+		const leader = this.#fencingNumber % 2;
+		for (const [index, state] of this.#controllers.entries()) {
+			if (this.#fault === 'leader-ignores-lease') {
+				state.leaseUntilMs = Number.POSITIVE_INFINITY;
+			}
+
+			this.#deliver(
+				index,
+				index === leader
+					? {type: 'leadership-confirmed', roundBeganAtMs: this.#clock(index)}
+					: {type: 'tick'},
+				step,
+			);
+		}
+	}
+
+	#deliver(index: number, event: ControllerEvent, step?: FencingStep): void {
+		const {actions} = stepController(
+			this.#controllers[index]!,
+			event,
+			this.#clock(index),
+		);
+		for (const action of actions) {
+			this.#send(index, action, step ?? {event: 'none', delay: 0, luck: 0.5});
+		}
+	}
+
+	/** Sends an order or a read; the request and the answer may be lost, doubled or late. */
+	#send(
+		index: number,
+		action: ControllerAction,
+		{delay, luck}: FencingStep,
+	): void {
+		if (action.type === 'wait' || action.type === 'fenced-off' || luck < 0.1) {
+			return;
+		}
+
+		const lifetimeMs = this.#controllers[index]!.settings.orderLifetimeMs;
+		const run = (): void => {
+			const answer =
+				action.type === 'read-state'
+					? this.#engine.read(action.readId)
+					: this.#engine.receive(action);
+			if (luck >= 0.2) {
+				this.#messages.push({
+					atMs: this.#nowMs + delay * 2000,
+					run: () => {
+						this.#deliver(index, answer);
+					},
+				});
+			}
+		};
+
+		this.#messages.push({atMs: this.#nowMs + delay * lifetimeMs, run});
+		if (luck > 0.9) {
+			this.#messages.push({atMs: this.#nowMs + lifetimeMs, run});
+		}
+	}
+}
--- /dev/null
+++ b/packages/engine-control/src/simulated-engine.fixture.ts
@@ -0,0 +1,55 @@
+import type {UpstreamId} from '@marjoramcove/types';
+import type {EngineState} from './engine-state.ts';
+import type {ControllerAction, ControllerEvent} from './events.ts';
+
+type OrderAction = Extract<
+	ControllerAction,
+	{type: 'send-order' | 'load-weights'}
+>;
+
+/** Engine that runs orders when the test delivers them, and may ignore fencing numbers. */
+export class SimulatedEngine {
+	state: EngineState = {models: [], adapters: [], version: '0', role: 'mixed'};
+	/** Fencing numbers of the orders that the engine ran. */
+	readonly ran: number[] = [];
+	readonly #upstreamId: UpstreamId;
+	readonly #checksFencing: boolean;
+	#fencingNumber = 0;
+
+	constructor(upstreamId: UpstreamId, checksFencing: boolean) {
+		this.#upstreamId = upstreamId;
+		this.#checksFencing = checksFencing;
+	}
+
+	/** Runs an order unless it is fenced off, and returns the answer. */
+	receive(action: OrderAction): ControllerEvent {
+		const {fencingNumber, orderId} = action.order;
+		const upstreamId = this.#upstreamId;
+		if (this.#checksFencing && fencingNumber < this.#fencingNumber) {
+			return {
+				type: 'order-answered',
+				upstreamId,
+				orderId,
+				outcome: 'fenced',
+			};
+		}
+
+		this.#fencingNumber = Math.max(this.#fencingNumber, fencingNumber);
+		this.ran.push(fencingNumber);
+		this.state =
+			action.type === 'send-order'
+				? structuredClone(action.desired)
+				: {...this.state, models: [...this.state.models, action.weights]};
+		return {type: 'order-answered', upstreamId, orderId, outcome: 'done'};
+	}
+
+	/** Answers a read. */
+	read(readId: number): ControllerEvent {
+		return {
+			type: 'state-read',
+			upstreamId: this.#upstreamId,
+			readId,
+			report: structuredClone(this.state),
+		};
+	}
+}
