Add the marjoramcove command line

Operators steer only through labels and selectors, so the command line applies files, shows differences, and reports the revision in force and the daemons that have it. A lost answer is followed by the same operation id; streams continue from the last event on the next address.

It is not run against a daemon yet; the shapes in api-types.ts are to be compared with it.

--- /dev/null
+++ b/packages/cli/src/commands/list.ts
@@ -0,0 +1,152 @@
+import {RefusedError} from '@marjoramcove/errors';
+import type {ApiClient} from '../api-client.ts';
+import {
+	type CommandContext,
+	type CommonArguments,
+	createClient,
+	writeResult,
+} from '../command-context.ts';
+import {type Column, formatRecord, formatTable} from '../output.ts';
+
+/** What can be listed and described. */
+export const listTargets = [
+	'programs',
+	'engines',
+	'upstreams',
+	'daemons',
+	'leader',
+] as const;
+
+export type ListTarget = (typeof listTargets)[number];
+
+type Row = Record<string, unknown>;
+
+const columns: Record<ListTarget, Array<Column<Row>>> = {
+	programs: [
+		['PROGRAM', (row) => row.programId],
+		['PHASE', (row) => row.phase],
+		['CALLER', (row) => row.callerId],
+		['TURN', (row) => row.nextTurn],
+		['LABELS', (row) => row.labels],
+	],
+	engines: [
+		['ENGINE', (row) => row.name],
+		['ZONE', (row) => row.zone],
+		['ADDRESS', (row) => row.address],
+		['MODELS', (row) => row.models],
+		['STATE', (row) => row.state],
+		['DISPATCHER', (row) => row.dispatcherId],
+		['IN FLIGHT', (row) => row.inFlight],
+		['QUEUED', (row) => row.queued],
+	],
+	upstreams: [
+		['UPSTREAM', (row) => row.name],
+		['TYPE', (row) => row.type],
+		['ZONE', (row) => row.zone],
+		['ADDRESS', (row) => row.address],
+		['STATE', (row) => row.state],
+		['DISPATCHER', (row) => row.dispatcherId],
+	],
+	daemons: [
+		['DAEMON', (row) => row.daemonId],
+		['ZONE', (row) => row.zone],
+		['ADDRESS', (row) => row.httpAddress],
+		['PHASE', (row) => row.phase],
+		['REVISION', (row) => row.revision],
+	],
+	leader: [
+		['GROUP', (row) => row.groupId],
+		['LEADER', (row) => row.leaderId],
+		['TERM', (row) => row.term],
+	],
+};
+
+const readList = async (
+	client: ApiClient,
+	path: string,
+	field: string,
+): Promise<Row[]> => {
+	const answer = await client.read<Record<string, Row[]>>(
+		`/v1/operator/${path}`,
+	);
+	return answer[field] ?? [];
+};
+
+/** Reads the rows of a list. */
+export const readRows = async (
+	client: ApiClient,
+	target: ListTarget,
+): Promise<Row[]> => {
+	switch (target) {
+		case 'programs': {
+			return readList(client, 'programs', 'programs');
+		}
+
+		case 'engines': {
+			const rows = await readList(client, 'upstreams', 'upstreams');
+			return rows.filter((row) => row.type === 'engine');
+		}
+
+		case 'upstreams': {
+			return readList(client, 'upstreams', 'upstreams');
+		}
+
+		case 'daemons': {
+			return readList(client, 'daemons', 'daemons');
+		}
+
+		case 'leader': {
+			const groups = await readList(client, 'replication', 'groups');
+			return groups.map(({groupId, leaderId, term}) => ({
+				groupId,
+				leaderId,
+				term,
+			}));
+		}
+	}
+};
+
+/** Lists programs, engines, upstreams, daemons or the leaders of the groups. */
+export const listRows = async (
+	context: CommandContext,
+	argv: CommonArguments & {what: ListTarget},
+): Promise<void> => {
+	const rows = await readRows(createClient(context, argv), argv.what);
+	writeResult(context, argv, {[argv.what]: rows}, () =>
+		rows.length === 0
+			? `There are no ${argv.what}.\n`
+			: formatTable(columns[argv.what], rows),
+	);
+};
+
+const readOne = async (
+	client: ApiClient,
+	target: ListTarget,
+	name: string,
+): Promise<Row> => {
+	if (target === 'programs') {
+		return client.read<Row>(`/v1/programs/${encodeURIComponent(name)}`);
+	}
+
+	const rows = await readRows(client, target);
+	const row = rows.find((entry) =>
+		[entry.name, entry.daemonId, entry.groupId].includes(name),
+	);
+	if (!row) {
+		throw new RefusedError(`No entry of ${target} is named ${name}.`, {
+			reason: 'name-unknown',
+			hint: `List them with marjoramcove list ${target}.`,
+		});
+	}
+
+	return row;
+};
+
+/** Shows every field of one entry. */
+export const describeEntry = async (
+	context: CommandContext,
+	argv: CommonArguments & {what: ListTarget; name: string},
+): Promise<void> => {
+	const row = await readOne(createClient(context, argv), argv.what, argv.name);
+	writeResult(context, argv, row, () => formatRecord(row));
+};
--- /dev/null
+++ b/packages/cli/src/commands/maintain.ts
@@ -0,0 +1,216 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {MarjoramcoveError, RefusedError} from '@marjoramcove/errors';
+import type {ApiClient} from '../api-client.ts';
+import type {
+	DaemonEntry,
+	DaemonsAnswer,
+	GroupEntry,
+	ReplicaEntry,
+	ReplicationAnswer,
+} from '../api-types.ts';
+import {
+	type CommandContext,
+	type CommonArguments,
+	createClient,
+	writeResult,
+} from '../command-context.ts';
+import {formatTable} from '../output.ts';
+import {showProgress} from '../show-progress.ts';
+
+const POLL_MS = 300;
+
+const readDaemons = async (client: ApiClient): Promise<DaemonEntry[]> => {
+	const {daemons} = await client.read<DaemonsAnswer>('/v1/operator/daemons');
+	return daemons;
+};
+
+const readGroups = async (client: ApiClient): Promise<GroupEntry[]> => {
+	const {groups} = await client.read<ReplicationAnswer>(
+		'/v1/operator/replication',
+	);
+	return groups;
+};
+
+/** Drains a daemon and waits until it has left. */
+export const drainDaemon = async (
+	context: CommandContext,
+	argv: CommonArguments & {daemon: string; wait?: boolean; timeoutMs?: number},
+): Promise<void> => {
+	const client = createClient(context, argv);
+	const daemons = await readDaemons(client);
+	const daemon = daemons.find(({daemonId}) => daemonId === argv.daemon);
+	if (!daemon) {
+		throw new RefusedError(`No live daemon is named ${argv.daemon}.`, {
+			reason: 'daemon-unknown',
+			hint: 'List them with marjoramcove list daemons.',
+		});
+	}
+
+	await client.json({
+		method: 'POST',
+		path: '/v1/operator/drain',
+		body: {daemonId: argv.daemon},
+		repeatable: true,
+		address: daemon.httpAddress,
+	});
+	if (argv.wait !== false) {
+		await showProgress(
+			context.output,
+			() => `waiting for ${argv.daemon} to finish its work`,
+			async () => waitForLeave(client, argv.daemon, argv.timeoutMs ?? 120_000),
+		);
+	}
+
+	writeResult(
+		context,
+		argv,
+		{daemonId: argv.daemon, drained: argv.wait !== false},
+		() =>
+			argv.wait === false
+				? `Daemon ${argv.daemon} is draining.\n`
+				: `Daemon ${argv.daemon} has left.\n`,
+	);
+};
+
+const waitForLeave = async (
+	client: ApiClient,
+	daemonId: string,
+	timeoutMs: number,
+): Promise<void> => {
+	const deadline = Date.now() + timeoutMs;
+	while (Date.now() < deadline) {
+		const daemons = await readDaemons(client);
+		if (!daemons.some((daemon) => daemon.daemonId === daemonId)) {
+			return;
+		}
+
+		await sleep(POLL_MS);
+	}
+
+	throw new MarjoramcoveError(
+		`Daemon ${daemonId} has not left after ${timeoutMs} ms.`,
+		{
+			reason: 'drain-not-finished',
+			verdict: 'ran',
+			hint: 'The drain goes on. See the log of the daemon for the calls that are left.',
+		},
+	);
+};
+
+const describeReplica = ({daemonId, role, state}: ReplicaEntry): string =>
+	`${daemonId}:${role}${state ? `:${state}` : ''}`;
+
+const formatGroups = (groups: GroupEntry[]): string =>
+	formatTable(
+		[
+			['GROUP', (row) => row.groupId],
+			['LEADER', (row) => row.leaderId],
+			[
+				'REPLICAS',
+				(row) => row.replicas.map((entry) => describeReplica(entry)),
+			],
+		],
+		groups,
+	);
+
+/** Shows the groups with their leaders and replicas. */
+export const showReplication = async (
+	context: CommandContext,
+	argv: CommonArguments,
+): Promise<void> => {
+	const groups = await readGroups(createClient(context, argv));
+	writeResult(context, argv, {groups}, () => formatGroups(groups));
+};
+
+type ReplaceArguments = CommonArguments & {
+	lost: string;
+	with: string;
+	group?: string;
+	timeoutMs?: number;
+};
+
+/** Replaces the replicas of a lost disk VM and waits until the new ones are voters. */
+export const runReplacement = async (
+	context: CommandContext,
+	argv: ReplaceArguments,
+): Promise<GroupEntry[]> => {
+	const client = createClient(context, argv);
+	await client.json({
+		method: 'POST',
+		path: '/v1/operator/replicas/replace',
+		body: {
+			...(argv.group !== undefined && {groupId: argv.group}),
+			lostDaemonId: argv.lost,
+			newDaemonId: argv.with,
+		},
+		repeatable: true,
+		timeoutMs: 60_000,
+	});
+	let left: string[] = [];
+	return showProgress(
+		context.output,
+		() => `waiting for the groups ${left.join(', ')} to be repaired`,
+		async () =>
+			waitForReplicas(client, argv, (groupIds) => {
+				left = groupIds;
+			}),
+	);
+};
+
+/** Replaces the replicas of a lost disk VM and shows the groups. */
+export const replaceReplicas = async (
+	context: CommandContext,
+	argv: ReplaceArguments,
+): Promise<void> => {
+	const groups = await runReplacement(context, argv);
+	writeResult(
+		context,
+		argv,
+		{groups},
+		() => `${argv.with} replaces ${argv.lost}.\n${formatGroups(groups)}`,
+	);
+};
+
+const isReplaced = (
+	group: GroupEntry,
+	{lost, with: replacement}: ReplaceArguments,
+): boolean => {
+	const isNewVoter = group.replicas.some(
+		({daemonId, role}) => daemonId === replacement && role !== 'learner',
+	);
+	const isLostGone =
+		lost === replacement ||
+		!group.replicas.some(({daemonId}) => daemonId === lost);
+	return isNewVoter && isLostGone;
+};
+
+const waitForReplicas = async (
+	client: ApiClient,
+	argv: ReplaceArguments,
+	report: (left: string[]) => void,
+): Promise<GroupEntry[]> => {
+	const deadline = Date.now() + (argv.timeoutMs ?? 300_000);
+	let left: GroupEntry[] = [];
+	while (Date.now() < deadline) {
+		const groups = await readGroups(client);
+		const wanted = groups.filter(
+			({groupId}) => argv.group === undefined || groupId === argv.group,
+		);
+		left = wanted.filter((group) => !isReplaced(group, argv));
+		report(left.map(({groupId}) => groupId));
+		if (left.length === 0) {
+			return wanted;
+		}
+
+		await sleep(POLL_MS);
+	}
+
+	throw new MarjoramcoveError(
+		`The groups ${left.map(({groupId}) => groupId).join(', ')} are not repaired yet.`,
+		{
+			reason: 'repair-not-finished',
+			verdict: 'ran',
+			hint: 'The repair goes on; see marjoramcove replication status.',
+		},
+	);
+};
--- /dev/null
+++ b/packages/cli/src/run-cli.test.ts
@@ -0,0 +1,340 @@
+import {writeFileSync, mkdtempSync, rmSync} from 'node:fs';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {json} from 'node:stream/consumers';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {runCli} from './run-cli.ts';
+
+type Handler = (
+	request: IncomingMessage,
+	response: ServerResponse,
+) => Promise<void> | void;
+
+const selector = `kind: Selector
+name: coaching
+labels: {}
+spec:
+  programs: {agent: entry-coaching}
+  upstreams: {fleet: main}
+  priority: 0
+`;
+
+const answerJson = (
+	response: ServerResponse,
+	body: unknown,
+	status = 200,
+): void => {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(body));
+};
+
+const answerError = (
+	response: ServerResponse,
+	status: number,
+	reason: string,
+	verdict: string,
+): void => {
+	answerJson(
+		response,
+		{
+			error: {
+				message: `refused for ${reason}`,
+				type: 'RefusedError',
+				reason,
+				verdict,
+				hint: 'Do this next.',
+			},
+		},
+		status,
+	);
+};
+
+describe('runCli', () => {
+	const servers: Server[] = [];
+	let folder: string;
+	let file: string;
+
+	beforeEach(() => {
+		folder = mkdtempSync(path.join(tmpdir(), 'marjoramcove-cli-'));
+		file = path.join(folder, 'selector.yaml');
+		writeFileSync(file, selector);
+	});
+
+	afterEach(() => {
+		for (const server of servers.splice(0)) {
+			server.closeAllConnections();
+			server.close();
+		}
+
+		rmSync(folder, {recursive: true});
+	});
+
+	const serve = async (handler: Handler): Promise<string> => {
+		const server = createServer((request, response) => {
+			void handler(request, response);
+		});
+		servers.push(server);
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	};
+
+	const run = async (
+		arguments_: string[],
+		environment: Record<string, string> = {},
+	) => {
+		const texts = {out: '', err: ''};
+		const code = await runCli(arguments_, {
+			output: {
+				write(text) {
+					texts.out += text;
+				},
+				writeError(text) {
+					texts.err += text;
+				},
+			},
+			environment,
+			readInput: async () => selector,
+		});
+		return {code, ...texts};
+	};
+
+	const serveChanges = async (onChange: Handler): Promise<string> =>
+		serve(async (request, response) => {
+			if (request.method === 'GET') {
+				answerJson(response, {revision: 7, hash: 'h', resources: []});
+				return;
+			}
+
+			await onChange(request, response);
+		});
+
+	const applied = {
+		revision: 8,
+		hash: 'h8',
+		repeated: false,
+		daemons: [{daemonId: 'd1', revision: 8, state: 'in-force'}],
+	};
+
+	describe('usage', () => {
+		it('names a missing address', async () => {
+			const {code, err} = await run(['list', 'daemons']);
+			expect(code).toBe(2);
+			expect(err).toContain('MARJORAMCOVE_ADDRESS');
+		});
+
+		it('names an unknown option', async () => {
+			const {code, err} = await run(['list', 'daemons', '--adress', 'x:1']);
+			expect(code).toBe(2);
+			expect(err).toContain('adress');
+			expect(err).not.toContain('at ');
+		});
+
+		it('prints help with the exit codes', async () => {
+			const {code, out} = await run(['--help']);
+			expect(code).toBe(0);
+			expect(out).toContain('Exit codes');
+		});
+
+		it('prints a completion script', async () => {
+			const {code, out} = await run(['completion']);
+			expect(code).toBe(0);
+			expect(out).toContain('marjoramcove');
+		});
+	});
+
+	describe('addresses', () => {
+		it('tries the next address when one refuses without running', async () => {
+			const refusing = await serve((_request, response) => {
+				answerError(response, 503, 'draining', 'not-run');
+			});
+			const serving = await serve((_request, response) => {
+				answerJson(response, {
+					daemons: [{daemonId: 'd2', zone: 'zone-a', phase: 'ready'}],
+				});
+			});
+			const {code, out} = await run(['list', 'daemons'], {
+				MARJORAMCOVE_ADDRESS: `127.0.0.1:1,${refusing},${serving}`,
+			});
+			expect(code).toBe(0);
+			expect(out).toContain('d2');
+		});
+
+		it('reports a refusal by all addresses as not run', async () => {
+			const {code, err} = await run([
+				'list',
+				'daemons',
+				'--address',
+				'127.0.0.1:1',
+			]);
+			expect(code).toBe(4);
+			expect(err).toContain('did not run');
+		});
+	});
+
+	describe('apply', () => {
+		it('shows the revision in force and the daemons', async () => {
+			const address = await serveChanges((_request, response) => {
+				answerJson(response, applied);
+			});
+			const {code, out} = await run([
+				'apply',
+				'-f',
+				file,
+				'--address',
+				address,
+			]);
+			expect(code).toBe(0);
+			expect(out).toContain('+ Selector coaching');
+			expect(out).toContain('Revision 8 is in force');
+			expect(out).toContain('d1');
+		});
+
+		it('repeats a lost answer with the same operation id', async () => {
+			const operationIds: string[] = [];
+			const addresses: string[] = [];
+			for (const loses of [true, false]) {
+				addresses.push(
+					await serveChanges(async (request, response) => {
+						const body = (await json(request)) as {operationId: string};
+						operationIds.push(body.operationId);
+						if (loses) {
+							response.destroy();
+						} else {
+							answerJson(response, {...applied, repeated: true});
+						}
+					}),
+				);
+			}
+
+			const {code, out} = await run([
+				'apply',
+				'-f',
+				file,
+				'--address',
+				addresses[0]!,
+				'--address',
+				addresses[1]!,
+			]);
+			expect(code).toBe(0);
+			expect(operationIds).toHaveLength(2);
+			expect(operationIds[0]).toBe(operationIds[1]);
+			expect(out).toContain('had run before');
+		});
+
+		it('reports an unknown outcome when every answer is lost', async () => {
+			const address = await serveChanges((_request, response) => {
+				response.destroy();
+			});
+			const {code, err} = await run([
+				'apply',
+				'-f',
+				file,
+				'--address',
+				address,
+			]);
+			expect(code).toBe(5);
+			expect(err).toContain('may have run');
+		});
+
+		it('reports a conflict', async () => {
+			const address = await serveChanges((_request, response) => {
+				answerError(response, 409, 'revision-conflict', 'not-run');
+			});
+			const {code} = await run(['apply', '-f', file, '--address', address]);
+			expect(code).toBe(3);
+		});
+
+		it('names the file and the key of a misspelt selector', async () => {
+			writeFileSync(file, selector.replace('upstreams:', 'upstraems:'));
+			const {code, err} = await run([
+				'apply',
+				'-f',
+				file,
+				'--address',
+				'127.0.0.1:1',
+			]);
+			expect(code).toBe(2);
+			expect(err).toContain(file);
+			expect(err).toContain('upstraems');
+		});
+	});
+
+	describe('program call', () => {
+		const chunk = (content: string, id: string) =>
+			`id: ${id}\ndata: ${JSON.stringify({choices: [{delta: {content}}]})}\n\n`;
+
+		it('continues a lost stream from the last event', async () => {
+			const resumedFrom: Array<string | undefined> = [];
+			const address = await serve((request, response) => {
+				resumedFrom.push(request.headers['last-event-id'] as string);
+				response.writeHead(200, {'content-type': 'text/event-stream'});
+				if (resumedFrom.length === 1) {
+					response.write(chunk('first ', '1:6'));
+					setTimeout(() => response.destroy(), 20);
+				} else {
+					response.end(`${chunk('second', '1:12')}data: [DONE]\n\n`);
+				}
+			});
+			const {code, out} = await run([
+				'program',
+				'call',
+				'p0-a',
+				'--model',
+				'm',
+				'--message',
+				'hello',
+				'--address',
+				address,
+			]);
+			expect(code).toBe(0);
+			expect(out).toBe('first second\n');
+			expect(resumedFrom).toEqual([undefined, '1:6']);
+		});
+
+		it('names the request id when the outcome is unknown', async () => {
+			const address = await serve((_request, response) => {
+				answerError(response, 504, 'tool-timeout', 'may-have-run');
+			});
+			const {code, err} = await run([
+				'program',
+				'call',
+				'p0-a',
+				'--tool',
+				'entry-desk/charge-fee',
+				'--request',
+				'r1',
+				'--address',
+				address,
+			]);
+			expect(code).toBe(5);
+			expect(err).toContain('program follow p0-a r1');
+		});
+	});
+
+	describe('json output', () => {
+		it('writes errors as JSON', async () => {
+			const address = await serve((_request, response) => {
+				answerError(response, 422, 'invalid-input', 'not-run');
+			});
+			const {code, err} = await run([
+				'list',
+				'programs',
+				'-o',
+				'json',
+				'--address',
+				address,
+			]);
+			expect(code).toBe(2);
+			expect(JSON.parse(err)).toMatchObject({error: {verdict: 'not-run'}});
+		});
+	});
+});
--- a/packages/test-support/src/engine/engine-orders.ts
+++ b/packages/test-support/src/engine/engine-orders.ts
@@ -10,6 +10,10 @@
 	adapter?: string;
 	version?: string;
 	role?: string;
+	/** Whole state, for `set-state`. */
+	desired?: EngineState;
+	/** Model whose weights are to be loaded, for `load-weights`. */
+	weights?: string;
 };
 
 /** What an engine reports about itself at `GET /v1/state`. */
@@ -108,6 +112,14 @@
 			};
 		}
 
+		case 'load-weights': {
+			return {...state, models: withItem(state.models, order.weights)};
+		}
+
+		case 'set-state': {
+			return order.desired && structuredClone(order.desired);
+		}
+
 		case 'set-version': {
 			return {...state, version: String(order.version)};
 		}
