--- /dev/null
+++ b/packages/integration/src/helpers/retry-refused.ts
@@ -0,0 +1,35 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Answer, errorOf} from '@marjoramcove/test-support';
+
+/** Whether a daemon refused a request without running it, so that a caller may send it again. */
+export const isRefused = (answer: Answer): boolean =>
+	[429, 503].includes(answer.status) && errorOf(answer)?.verdict === 'not-run';
+
+/**
+ * Sends a request again while daemons refuse it as not run or no connection is made, as a caller does;
+ * returns the last answer when the time is up.
+ */
+export const retryRefused = async (
+	send: () => Promise<Answer>,
+	timeoutMs = 20_000,
+): Promise<Answer> => {
+	const deadline = Date.now() + timeoutMs;
+	for (;;) {
+		let answer: Answer;
+		try {
+			answer = await send();
+		} catch (error) {
+			answer = {
+				status: 0,
+				body: {error: {reason: 'no-answer', message: String(error)}},
+			};
+		}
+
+		const isFinal = answer.status !== 0 && !isRefused(answer);
+		if (isFinal || Date.now() > deadline) {
+			return answer;
+		}
+
+		await sleep(100);
+	}
+};
--- /dev/null
+++ b/packages/test-support/src/bed/test-bed.ts
@@ -0,0 +1,178 @@
+import {randomUUID} from 'node:crypto';
+import {Cluster, type ClusterOptions} from '../cluster/cluster.ts';
+import type {EngineOptions} from '../engine/engine-options.ts';
+import {ModelEngine} from '../engine/model-engine.ts';
+import {PlainService} from '../plain-service.ts';
+import {waitFor} from '../wait-for.ts';
+import {type Answer, Caller, errorOf} from './caller.ts';
+import {
+	describeEngine,
+	describeSelector,
+	describeService,
+	type PlainResource,
+} from './describe-upstreams.ts';
+
+export type TestBedOptions = ClusterOptions & {
+	engineCount?: number;
+	engineOptions?: Partial<EngineOptions>;
+	/** Other options for single engines, by position. */
+	perEngine?: Array<Partial<EngineOptions>>;
+};
+
+export type ResourceList = {revision: number; resources: PlainResource[]};
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+/**
+ * A cluster of real daemons with stand-in engines, an entry desk and an order desk, registered under
+ * the fleet `main`, which programs of all labels may use.
+ *
+ * @example
+ * ```ts
+ * const bed = await TestBed.start({daemonCount: 5, engineCount: 2});
+ * const caller = bed.caller('d4');
+ * await bed.stop();
+ * ```
+ */
+export class TestBed {
+	/** Starts everything and waits until the resources are in force. */
+	static async start(options: TestBedOptions = {}): Promise<TestBed> {
+		const engines: ModelEngine[] = [];
+		for (let index = 0; index < (options.engineCount ?? 2); index++) {
+			engines.push(
+				await new ModelEngine({
+					salt: `engine-${index + 1}`,
+					...options.engineOptions,
+					...options.perEngine?.[index],
+				}).start(),
+			);
+		}
+
+		const entryDesk = await new PlainService().start();
+		const orderDesk = await new PlainService().start();
+		const stopStandIns = async () => {
+			await Promise.all(
+				[...engines, entryDesk, orderDesk].map(async (entry) => entry.stop()),
+			);
+		};
+
+		try {
+			const cluster = await Cluster.start(options);
+			const bed = new TestBed({cluster, engines, entryDesk, orderDesk});
+			await bed.apply(bed.resources());
+			return bed;
+		} catch (error) {
+			await stopStandIns();
+			throw error;
+		}
+	}
+
+	readonly cluster: Cluster;
+	readonly engines: ModelEngine[];
+	readonly entryDesk: PlainService;
+	readonly orderDesk: PlainService;
+	readonly #callers = new Map<string, Caller>();
+
+	private constructor(
+		parts: Pick<TestBed, 'cluster' | 'engines' | 'entryDesk' | 'orderDesk'>,
+	) {
+		this.cluster = parts.cluster;
+		this.engines = parts.engines;
+		this.entryDesk = parts.entryDesk;
+		this.orderDesk = parts.orderDesk;
+	}
+
+	/** Resources that register all stand-ins and one selector for all programs. */
+	resources(): PlainResource[] {
+		return [
+			...this.engines.map((engine, index) =>
+				describeEngine(
+					`engine-${index + 1}`,
+					engine,
+					ZONES[index % ZONES.length],
+				),
+			),
+			describeService('entry-desk-1', this.entryDesk, 'entry-desk'),
+			describeService('order-desk-1', this.orderDesk, 'order-desk', 'zone-b'),
+			describeSelector('all', {}),
+		];
+	}
+
+	/** A caller of a daemon; the same daemon gives the same caller. */
+	caller(daemonId: string): Caller {
+		const caller =
+			this.#callers.get(daemonId) ??
+			new Caller(this.cluster.daemon(daemonId).httpAddress);
+		this.#callers.set(daemonId, caller);
+		return caller;
+	}
+
+	/** Reads the configuration from a daemon. */
+	async readResources(daemonId?: string): Promise<ResourceList> {
+		const answer = await this.caller(
+			daemonId ?? this.#anyDaemon(),
+		).send<ResourceList>('GET', '/v1/operator/resources');
+		if (answer.status !== 200) {
+			throw new Error(`The resources were not read: ${JSON.stringify(answer)}`);
+		}
+
+		return answer.body;
+	}
+
+	/** Sends one change and returns the answer. */
+	async sendChange(
+		changes: unknown[],
+		options: {
+			baseRevision?: number;
+			operationId?: string;
+			daemonId?: string;
+		} = {},
+	): Promise<Answer> {
+		const daemonId = options.daemonId ?? this.#anyDaemon();
+		const current = await this.readResources(daemonId);
+		return this.caller(daemonId).send('POST', '/v1/operator/changes', {
+			body: {
+				operationId: options.operationId ?? randomUUID(),
+				baseRevision: options.baseRevision ?? current.revision,
+				changes,
+			},
+			timeoutMs: 40_000,
+		});
+	}
+
+	/** Applies resources, again when a daemon refuses the change as not run. */
+	async apply(resources: PlainResource[]): Promise<Answer> {
+		return waitFor('the change to be accepted', async () => {
+			const answer = await this.sendChange(
+				resources.map((resource) => ({type: 'apply', resource})),
+			);
+			if (answer.status === 200) {
+				return answer;
+			}
+
+			throw new Error(JSON.stringify(errorOf(answer) ?? answer));
+		});
+	}
+
+	/** Stops callers, daemons and stand-ins. */
+	async stop(): Promise<void> {
+		await Promise.all(
+			[...this.#callers.values()].map(async (caller) => caller.close()),
+		);
+		await this.cluster.stop();
+		await Promise.all(
+			[...this.engines, this.entryDesk, this.orderDesk].map(async (entry) =>
+				entry.stop(),
+			),
+		);
+	}
+
+	#anyDaemon(): string {
+		const daemon = this.cluster.daemons.findLast((entry) => entry.running);
+		if (!daemon) {
+			throw new Error('No daemon is running.');
+		}
+
+		return daemon.daemonId;
+	}
+}
--- a/packages/test-support/src/engine/model-engine.ts
+++ b/packages/test-support/src/engine/model-engine.ts
@@ -47,6 +47,8 @@
 	prompt: string;
 	prefix: string;
 	receivedAtMs: number;
+	/** Tokens that the call has used so far, also after the answer was lost. */
+	readUsedTokens: () => number;
 };
 
 /**
@@ -218,13 +220,6 @@
 	#createStream(streamId: string, body: CompletionRequest): EngineStream {
 		const prompt = promptText(body.messages);
 		const prefix = body.prefix ?? '';
-		this.calls.push({
-			streamId,
-			programId: body.program_id,
-			prompt,
-			prefix,
-			receivedAtMs: Date.now(),
-		});
 		const stream: EngineStream = {
 			streamId,
 			programId: body.program_id,
@@ -244,6 +239,14 @@
 			state: 'waiting',
 			listeners: new Set(),
 		};
+		this.calls.push({
+			streamId,
+			programId: body.program_id,
+			prompt,
+			prefix,
+			receivedAtMs: Date.now(),
+			readUsedTokens: () => formatUsage(stream).total_tokens,
+		});
 		this.#streams.set(streamId, stream);
 		return stream;
 	}
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -32,3 +32,26 @@
 export {type ListedVm, VmList} from './vm-list.ts';
 export {waitFor} from './wait-for.ts';
 export {WeightStore} from './weight-store.ts';
+export {
+	type Answer,
+	type ApiError,
+	Caller,
+	type CallOptions,
+	errorOf,
+	type ModelCallOptions,
+	type ProgramRequest,
+} from './bed/caller.ts';
+export {
+	describeEngine,
+	describeSelector,
+	describeService,
+	deskOperations,
+	type PlainResource,
+} from './bed/describe-upstreams.ts';
+export {
+	commandLineBinary,
+	type CommandResult,
+	runCommand,
+} from './bed/run-command.ts';
+export type {StreamedCall, StreamResult} from './bed/streamed-call.ts';
+export {TestBed, type TestBedOptions} from './bed/test-bed.ts';
