Add the experiment tool and bound the memory of calls in flight

measure runs the scheduler core and the baselines on a virtual clock.

Cause: prefixes with short pauses were left to the engine's eviction. nextToEvict exports whatever would be evicted next.

--- /dev/null
+++ b/packages/measure/src/bin.ts
@@ -0,0 +1,142 @@
+#!/usr/bin/env node
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {plotLatency} from './plot-latency.ts';
+import {formatMarkdown, formatTable} from './print-table.ts';
+import {averageRows, type Row} from './row.ts';
+import {runFailures} from './run-failures.ts';
+import {runScenario} from './run-scenario.ts';
+import {runTarget, TARGET_COLUMNS} from './run-target.ts';
+import {BARAMYEON, PIATOTHIKI} from './scenarios.ts';
+
+const KEY_COLUMNS = ['scenario', 'load', 'policy'];
+const COLUMNS = [
+	...KEY_COLUMNS,
+	'programs',
+	'finishedInTimePrograms',
+	'refusedPrograms',
+	'programLatencyP50Ms',
+	'programLatencyP95Ms',
+	'programLatencyP95WithRefusedMs',
+	'programLatencyP99Ms',
+	'programLatencyMeanMs',
+	'ratioToLowerBoundMean',
+	'wastedPrefixShare',
+	'unusedCacheTokenSeconds',
+	'callerSpreadRatio',
+];
+const FAILURE_COLUMNS = [
+	...KEY_COLUMNS,
+	'finishedInTimePrograms',
+	'programLatencyP95Ms',
+	'steadySlowdown',
+	'faultSlowdown',
+	'recoveryMs',
+];
+
+const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
+
+type ScenarioName = (typeof SCENARIOS)[number];
+
+const readArguments = () =>
+	yargs(hideBin(process.argv))
+		.scriptName('measure')
+		.command('$0 <scenario>', 'Runs the experiments of a scenario', (command) =>
+			command.positional('scenario', {choices: SCENARIOS, demandOption: true}),
+		)
+		.option('seed', {type: 'number', default: 1, describe: 'First seed'})
+		.option('seeds', {type: 'number', default: 1, describe: 'Number of seeds'})
+		.option('policies', {
+			type: 'string',
+			describe: 'Comma-separated names of the policies to run',
+		})
+		.option('out', {type: 'string', describe: 'File for the rows as JSON'})
+		.option('plots', {type: 'string', describe: 'Folder for SVG plots'})
+		.option('markdown', {
+			type: 'boolean',
+			default: false,
+			describe: 'Print Markdown tables',
+		})
+		.check(({seed, seeds}) => {
+			if (
+				!Number.isSafeInteger(seed) ||
+				!Number.isSafeInteger(seeds) ||
+				seeds < 1
+			) {
+				throw new Error(
+					'--seed and --seeds must be integers, --seeds at least 1.',
+				);
+			}
+
+			return true;
+		})
+		.strict()
+		.parseSync();
+
+const runSeed = (
+	name: ScenarioName,
+	options: {seed: number; policies?: readonly string[]},
+): Row[] => {
+	switch (name) {
+		case 'baramyeon': {
+			return runScenario(BARAMYEON, options);
+		}
+
+		case 'piatothiki': {
+			return runScenario(PIATOTHIKI, options);
+		}
+
+		case 'failures': {
+			return runFailures(BARAMYEON, options);
+		}
+
+		case 'target': {
+			return runTarget(options.seed);
+		}
+	}
+};
+
+const readColumns = (name: ScenarioName): string[] =>
+	name === 'target'
+		? TARGET_COLUMNS
+		: name === 'failures'
+			? FAILURE_COLUMNS
+			: COLUMNS;
+
+const writePlots = (folder: string, name: ScenarioName, rows: Row[]): void => {
+	mkdirSync(folder, {recursive: true});
+	for (const figure of ['programLatencyP50Ms', 'programLatencyP95Ms']) {
+		writeFileSync(
+			path.join(folder, `${name}-${figure}.svg`),
+			plotLatency(rows, figure, name),
+		);
+	}
+};
+
+const main = (): void => {
+	const {seed, seeds, policies, out, plots, markdown, ...rest} =
+		readArguments();
+	const name = rest.scenario as ScenarioName;
+	const rows: Row[] = [];
+	for (let offset = 0; offset < seeds; offset++) {
+		rows.push(
+			...runSeed(name, {seed: seed + offset, policies: policies?.split(',')}),
+		);
+	}
+
+	const means = averageRows(rows);
+	const format = markdown ? formatMarkdown : formatTable;
+	console.log(format(means, readColumns(name)));
+	if (out) {
+		mkdirSync(path.dirname(path.resolve(out)), {recursive: true});
+		writeFileSync(out, `${JSON.stringify(rows, undefined, '\t')}\n`);
+	}
+
+	if (plots && (name === 'baramyeon' || name === 'piatothiki')) {
+		writePlots(plots, name, means);
+	}
+};
+
+main();
--- /dev/null
+++ b/packages/measure/src/dispatch-queue.ts
@@ -0,0 +1,109 @@
+import {
+	type CallerService,
+	createCallerService,
+	estimateWorkMs,
+	type InFlightLoad,
+	readService,
+	readTuning,
+	recordService,
+	type PolicySettings,
+} from '@marjoramcove/scheduler';
+import type {Policy} from './policy.ts';
+import type {SimCall} from './sim-call.ts';
+
+/** Queue of a dispatcher for one engine: keeps at most `slots` calls in flight there. */
+export class DispatchQueue {
+	/** No call is sent while the dispatcher or its engine is lost. */
+	paused = false;
+	readonly #slots: number;
+	readonly #cacheCapacityTokens: number;
+	readonly #policy: Policy;
+	readonly #settings: PolicySettings;
+	readonly #send: (call: SimCall) => void;
+	readonly #inFlight = new Set<SimCall>();
+	#ledger: CallerService = createCallerService();
+	#waiting: SimCall[] = [];
+
+	constructor(
+		{slots, cacheCapacityTokens}: {slots: number; cacheCapacityTokens: number},
+		{policy, settings}: {policy: Policy; settings: PolicySettings},
+		send: (call: SimCall) => void,
+	) {
+		this.#slots = slots;
+		this.#cacheCapacityTokens = cacheCapacityTokens;
+		this.#policy = policy;
+		this.#settings = settings;
+		this.#send = send;
+	}
+
+	push(call: SimCall, nowMs: number): void {
+		this.#waiting.push(call);
+		this.pump(nowMs);
+	}
+
+	finish(call: SimCall, nowMs: number): void {
+		this.#inFlight.delete(call);
+		this.pump(nowMs);
+	}
+
+	/** Forgets all calls, as the loss of the dispatcher or of its engine does. */
+	clear(): SimCall[] {
+		const calls = [...this.#waiting, ...this.#inFlight];
+		this.#waiting = [];
+		this.#inFlight.clear();
+		return calls;
+	}
+
+	/** Sends waiting calls while the engine has room for the one that goes next. */
+	pump(nowMs: number): void {
+		while (
+			!this.paused &&
+			this.#waiting.length > 0 &&
+			this.#inFlight.size < this.#slots &&
+			this.#sendNext(nowMs)
+		) {
+			// Each round sends one call.
+		}
+	}
+
+	#sendNext(nowMs: number): boolean {
+		let floorMs = Number.POSITIVE_INFINITY;
+		for (const {queued} of this.#waiting) {
+			queued.callerServiceMs = readService(this.#ledger, queued.callerId);
+			floorMs = Math.min(floorMs, queued.callerServiceMs);
+		}
+
+		const queue = this.#waiting.map(({queued}) => queued);
+		const position = queue.indexOf(this.#policy.pick(queue, nowMs)!);
+		const call = this.#waiting[position]!;
+		if (!this.#policy.hasRoom(this.#readLoad(), call.queued)) {
+			return false;
+		}
+
+		this.#waiting.splice(position, 1);
+		const workMs = estimateWorkMs(call.work, readTuning(this.#settings));
+		this.#ledger = recordService(
+			this.#ledger,
+			call.queued.callerId,
+			workMs,
+			floorMs,
+		);
+		this.#inFlight.add(call);
+		this.#send(call);
+		return true;
+	}
+
+	#readLoad(): InFlightLoad {
+		let inFlightTokens = 0;
+		for (const {queued} of this.#inFlight) {
+			inFlightTokens += queued.promptTokens + queued.expectedCompletionTokens;
+		}
+
+		return {
+			slots: this.#slots,
+			inFlight: this.#inFlight.size,
+			inFlightTokens,
+			cacheCapacityTokens: this.#cacheCapacityTokens,
+		};
+	}
+}
--- /dev/null
+++ b/packages/measure/src/fleet-view.ts
@@ -0,0 +1,127 @@
+import type {EngineView} from '@marjoramcove/scheduler';
+import {asId, type UpstreamId, type ZoneName} from '@marjoramcove/types';
+import type {EngineModel} from './engine-model.ts';
+
+/** Work that is queued or in flight at an engine. */
+export type OpenWork = {
+	calls: number;
+	prefillTokens: number;
+	completionTokens: number;
+};
+
+/** What an engine's report says. */
+export type LoadReport = OpenWork & {
+	cacheUsedTokens: number;
+	relativeSpeed: number;
+};
+
+type Known = {
+	report: LoadReport;
+	/** The router's own open work at the time of the report. */
+	ownAtReport: OpenWork;
+	own: OpenWork;
+};
+
+const createWork = (): OpenWork => ({
+	calls: 0,
+	prefillTokens: 0,
+	completionTokens: 0,
+});
+
+/**
+ * What one router knows of the engines: its own dispatch records, and reports that arrive late. An
+ * estimate is the report plus what the router itself has sent and seen finished since then.
+ */
+export class FleetView {
+	readonly healthy: boolean[];
+	readonly leaving: boolean[];
+	readonly #model: EngineModel;
+	readonly #zones: ZoneName[];
+	readonly #ids: UpstreamId[];
+	readonly #known: Known[];
+
+	constructor(engines: number, zones: number, model: EngineModel) {
+		const positions = Array.from({length: engines}, (_, engine) => engine);
+		this.#model = model;
+		this.#ids = positions.map((engine) => asId<UpstreamId>(`engine-${engine}`));
+		this.#zones = positions.map((engine) =>
+			asId<ZoneName>(`zone-${engine % zones}`),
+		);
+		this.healthy = positions.map(() => true);
+		this.leaving = positions.map(() => false);
+		this.#known = positions.map(() => ({
+			report: {...createWork(), cacheUsedTokens: 0, relativeSpeed: 1},
+			ownAtReport: createWork(),
+			own: createWork(),
+		}));
+	}
+
+	get count(): number {
+		return this.#ids.length;
+	}
+
+	idOf(engine: number): UpstreamId {
+		return this.#ids[engine]!;
+	}
+
+	positionOf(id: UpstreamId): number {
+		return this.#ids.indexOf(id);
+	}
+
+	/** Records a sent call (`sign` 1) or a finished one (-1). */
+	record(engine: number, work: OpenWork, sign: 1 | -1): void {
+		const {own} = this.#known[engine]!;
+		own.calls += sign * work.calls;
+		own.prefillTokens += sign * work.prefillTokens;
+		own.completionTokens += sign * work.completionTokens;
+	}
+
+	/** Takes a report at the time at which the engine made it; `deliver` puts it in force. */
+	receiveReport(engine: number, report: LoadReport): () => void {
+		const known = this.#known[engine]!;
+		const ownAtReport = {...known.own};
+		return () => {
+			known.report = report;
+			known.ownAtReport = ownAtReport;
+		};
+	}
+
+	/** Estimates the open work of an engine; never less than the router's own. */
+	estimate(engine: number): OpenWork & LoadReport {
+		const {report, own, ownAtReport} = this.#known[engine]!;
+		return {
+			...report,
+			calls: Math.max(own.calls, report.calls + own.calls - ownAtReport.calls),
+			prefillTokens: Math.max(
+				own.prefillTokens,
+				report.prefillTokens + own.prefillTokens - ownAtReport.prefillTokens,
+			),
+			completionTokens: Math.max(
+				own.completionTokens,
+				report.completionTokens +
+					own.completionTokens -
+					ownAtReport.completionTokens,
+			),
+		};
+	}
+
+	view(engine: number, cachedTokens: number): EngineView {
+		const known = this.estimate(engine);
+		const {slots, cacheCapacityTokens} = this.#model;
+		return {
+			upstreamId: this.#ids[engine]!,
+			zone: this.#zones[engine]!,
+			slots,
+			inFlight: Math.min(slots, known.calls),
+			queued: Math.max(0, known.calls - slots),
+			outstandingTokens: known.prefillTokens + known.completionTokens,
+			outstandingCompletionTokens: known.completionTokens,
+			cachedTokens,
+			cacheCapacityTokens,
+			cacheUsedTokens: known.cacheUsedTokens,
+			relativeSpeed: known.relativeSpeed,
+			leaving: this.leaving[engine]!,
+			healthy: this.healthy[engine]!,
+		};
+	}
+}
--- /dev/null
+++ b/packages/measure/src/run-target.ts
@@ -0,0 +1,283 @@
+import {
+	TARGET_CALLERS,
+	TARGET_MODELS,
+	TARGET_PROGRAMS,
+	TARGET_SERVERS,
+	asId,
+	type CallerId,
+	type ProgramId,
+	type UpstreamId,
+	type ZoneName,
+} from '@marjoramcove/types';
+import {
+	admitCall,
+	chooseEngine,
+	createCallerService,
+	decideRetention,
+	type EngineView,
+	estimateWorkMs,
+	hasRoom,
+	pickNext,
+	type PolicySettings,
+	type QueuedCall,
+	readService,
+	readTuning,
+	recordService,
+	sampleViews,
+} from '@marjoramcove/scheduler';
+import {readMean, readQuantile} from './figures.ts';
+import {RandomDraws} from './random-draws.ts';
+import {readHeapBytes} from './read-heap-bytes.ts';
+import type {Row} from './row.ts';
+
+type Size = {
+	servers: number;
+	models: number;
+	callers: number;
+	programs: number;
+};
+
+/** From today's size to the target size. */
+const SIZES: Size[] = [
+	{servers: 12, models: 1, callers: 40, programs: 400},
+	{servers: 60, models: 2, callers: 200, programs: 5000},
+	{servers: 300, models: 4, callers: 1000, programs: 25_000},
+	{servers: 800, models: 8, callers: 2500, programs: 66_000},
+	{
+		servers: TARGET_SERVERS,
+		models: TARGET_MODELS,
+		callers: TARGET_CALLERS,
+		programs: TARGET_PROGRAMS,
+	},
+];
+
+export const TARGET_COLUMNS = [
+	'scenario',
+	'load',
+	'servers',
+	'models',
+	'callers',
+	'programs',
+	'decisionMeanUs',
+	'decisionP50Us',
+	'decisionP99Us',
+	'stateBytes',
+	'stateBytesPerProgram',
+];
+
+const SETTINGS: PolicySettings = {latencyWeight: 1, cacheWeight: 3};
+const DECISIONS = 20_000;
+const WARM_UP_DECISIONS = 5000;
+/** Calls that wait at the engine of each decision: two full batches. */
+const WAITING_CALLS = 64;
+
+type ProgramState = {
+	programId: ProgramId;
+	callerId: CallerId;
+	previous: EngineView;
+	tokens: number;
+	turn: number;
+};
+
+type State = {
+	/** Engines by model. */
+	fleets: Array<{views: EngineView[]; byId: Map<UpstreamId, EngineView>}>;
+	programs: ProgramState[];
+	byId: Map<ProgramId, ProgramState>;
+};
+
+const createView = (engine: number, draws: RandomDraws): EngineView => ({
+	upstreamId: asId<UpstreamId>(`engine-${engine}`),
+	zone: asId<ZoneName>(`zone-${engine % 12}`),
+	slots: 32,
+	inFlight: draws.integer(0, 32),
+	queued: draws.integer(0, 8),
+	outstandingTokens: draws.integer(0, 200_000),
+	outstandingCompletionTokens: draws.integer(0, 4000),
+	cachedTokens: 0,
+	cacheCapacityTokens: 600_000,
+	relativeSpeed: 1,
+	leaving: draws.next() < 0.01,
+	healthy: draws.next() > 0.01,
+});
+
+const createState = (size: Size, draws: RandomDraws): State => {
+	const fleets = Array.from({length: size.models}, (_, model) => {
+		const views: EngineView[] = [];
+		for (let engine = model; engine < size.servers; engine += size.models) {
+			views.push(createView(engine, draws));
+		}
+
+		return {
+			views,
+			byId: new Map(views.map((view) => [view.upstreamId, view])),
+		};
+	});
+	const programs = Array.from({length: size.programs}, (_, index) => {
+		const {views} = fleets[index % fleets.length]!;
+		return {
+			programId: asId<ProgramId>(`p0-${index}`),
+			callerId: asId<CallerId>(`caller-${draws.zipf(size.callers)}`),
+			previous: views[draws.integer(0, views.length - 1)]!,
+			tokens: draws.integer(2000, 60_000),
+			turn: draws.integer(0, 40),
+		};
+	});
+	return {
+		fleets,
+		programs,
+		byId: new Map(programs.map((program) => [program.programId, program])),
+	};
+};
+
+const toQueued = (program: ProgramState, nowMs: number): QueuedCall => ({
+	programId: program.programId,
+	callerId: program.callerId,
+	requestId: `${program.turn}`,
+	queuedAtMs: nowMs,
+	attainedTokens: program.tokens,
+	promptTokens: program.tokens + 500,
+	cachedTokens: program.tokens,
+	expectedCompletionTokens: 150,
+	turn: program.turn,
+	priority: 0,
+});
+
+/** One whole decision: admission, routing, order, room, fairness and retention of a call. */
+const decide = (
+	state: State,
+	index: number,
+	{
+		queue,
+		ledger,
+		draws,
+	}: {
+		queue: QueuedCall[];
+		ledger: ReturnType<typeof createCallerService>;
+		draws: RandomDraws;
+	},
+): void => {
+	const program = state.programs[index]!;
+	const fleet = state.fleets[index % state.fleets.length]!;
+	const view = fleet.views[0]!;
+	const nowMs = 1000;
+	admitCall(
+		{
+			engines: fleet.views.length,
+			slots: 32 * fleet.views.length,
+			inFlight: 100,
+			queued: 0,
+			outstandingWorkMs: 1000,
+			cacheUsedTokens: 0,
+			cacheCapacityTokens: 1,
+			callerPrograms: 1,
+			programs: state.programs.length,
+			activeCallers: 100,
+		},
+		{
+			programId: program.programId,
+			callerId: program.callerId,
+			isNewProgram: false,
+		},
+		nowMs,
+		SETTINGS,
+	);
+	const directory = {
+		count: fleet.views.length,
+		viewAt: (position: number) => fleet.views[position]!,
+		viewOf: (id: UpstreamId) => fleet.byId.get(id),
+	};
+	const views = sampleViews(
+		directory,
+		[program.previous.upstreamId],
+		SETTINGS,
+		draws.next,
+	);
+	const queued = toQueued(program, nowMs);
+	chooseEngine(
+		{...queued, zone: view.zone},
+		views,
+		nowMs,
+		SETTINGS,
+		draws.next,
+	);
+	queue[index % queue.length] = queued;
+	let floorMs = Number.POSITIVE_INFINITY;
+	for (const call of queue) {
+		call.callerServiceMs = readService(ledger, call.callerId);
+		floorMs = Math.min(floorMs, call.callerServiceMs);
+	}
+
+	const picked = pickNext(queue, nowMs, SETTINGS)!;
+	hasRoom(
+		{
+			slots: 32,
+			inFlight: 10,
+			inFlightTokens: 100_000,
+			cacheCapacityTokens: 600_000,
+		},
+		picked,
+		SETTINGS,
+	);
+	recordService(
+		ledger,
+		picked.callerId,
+		estimateWorkMs(
+			{prefillTokens: 500, completionTokens: 150},
+			readTuning(SETTINGS),
+		),
+		floorMs,
+	);
+	decideRetention(
+		{
+			cachedTokens: program.tokens,
+			expectedPauseMs: 500,
+			programEnded: false,
+			cacheUsedTokens: 500_000,
+			cacheCapacityTokens: 600_000,
+			exportFreeTokens: 100_000,
+		},
+		SETTINGS,
+	);
+};
+
+const measureSize = (size: Size, seed: number): Row => {
+	const draws = new RandomDraws(seed);
+	const before = readHeapBytes();
+	const state = createState(size, draws);
+	const stateBytes = readHeapBytes() - before;
+	const context = {
+		queue: state.programs
+			.slice(0, WAITING_CALLS)
+			.map((program) => toQueued(program, 0)),
+		ledger: createCallerService(),
+		draws,
+	};
+	const timesUs: number[] = [];
+	for (let run = 0; run < WARM_UP_DECISIONS + DECISIONS; run++) {
+		const index = draws.integer(0, size.programs - 1);
+		const startedAt = performance.now();
+		decide(state, index, context);
+		if (run >= WARM_UP_DECISIONS) {
+			timesUs.push((performance.now() - startedAt) * 1000);
+		}
+	}
+
+	timesUs.sort((left, right) => left - right);
+	return {
+		scenario: 'target',
+		load: `${size.servers} servers`,
+		policy: 'marjoramcove',
+		seed,
+		...size,
+		decisionMeanUs: readMean(timesUs),
+		decisionP50Us: readQuantile(timesUs, 0.5),
+		decisionP99Us: readQuantile(timesUs, 0.99),
+		stateBytes,
+		stateBytesPerProgram: stateBytes / size.programs,
+	};
+};
+
+/** Measures the cost of a decision from today's size to the target size. */
+export const runTarget = (seed: number): Row[] =>
+	SIZES.map((size) => measureSize(size, seed));
--- /dev/null
+++ b/packages/measure/src/scenarios.ts
@@ -0,0 +1,72 @@
+import {type PolicySettings, type PolicyTuning} from '@marjoramcove/scheduler';
+import {type Agent, BARAMYEON_AGENTS, PIATOTHIKI_AGENTS} from './agents.ts';
+import {DEFAULT_ENGINE, type EngineModel, readStepMs} from './engine-model.ts';
+import type {ArrivalPlan} from './workload.ts';
+
+/** A deployment with its workload. */
+export type Scenario = {
+	name: string;
+	agents: Agent[];
+	engines: number;
+	zones: number;
+	routers: number;
+	callers: number;
+	callerDelayMs: number;
+	model: EngineModel;
+	settings: PolicySettings;
+	arrivals: ArrivalPlan;
+	loads: number[];
+};
+
+/** Constants of the policy that follow from the engine: what an operator measures once per model. */
+export const readEngineTuning = (
+	model: EngineModel,
+): Partial<PolicyTuning> => ({
+	prefillMsPerToken: model.prefillMsPerToken,
+	decodeMsPerToken: readStepMs(model, model.slots) / model.slots,
+	stepMs: readStepMs(model, model.slots),
+	transferMsPerToken: model.transferMsPerToken,
+});
+
+/** A steady day at half of the capacity, then the rush before the closing bell. */
+export const BARAMYEON: Scenario = {
+	name: 'baramyeon',
+	agents: BARAMYEON_AGENTS,
+	engines: 12,
+	zones: 3,
+	routers: 4,
+	callers: 40,
+	callerDelayMs: 3,
+	model: DEFAULT_ENGINE,
+	settings: {
+		latencyWeight: 1,
+		cacheWeight: 3,
+		tuning: readEngineTuning(DEFAULT_ENGINE),
+	},
+	arrivals: {
+		warmUpMs: 60_000,
+		warmUpLoad: 0.5,
+		measuredMs: 900_000,
+		bellAfterMs: 90_000,
+	},
+	loads: [0.5, 0.7, 0.9, 1.1, 1.4],
+};
+
+/** Long sessions with long pauses; the working set is larger than the cache. */
+export const PIATOTHIKI: Scenario = {
+	name: 'piatothiki',
+	agents: PIATOTHIKI_AGENTS,
+	engines: 6,
+	zones: 3,
+	routers: 4,
+	callers: 25,
+	callerDelayMs: 1,
+	model: DEFAULT_ENGINE,
+	settings: {
+		latencyWeight: 1,
+		cacheWeight: 6,
+		tuning: readEngineTuning(DEFAULT_ENGINE),
+	},
+	arrivals: {warmUpMs: 300_000, warmUpLoad: 0.7, measuredMs: 600_000},
+	loads: [0.7, 0.9, 1.1, 1.4],
+};
--- /dev/null
+++ b/packages/measure/src/sim-call.ts
@@ -0,0 +1,20 @@
+import type {QueuedCall} from '@marjoramcove/scheduler';
+import type {EngineCall} from './engine-stand-in.ts';
+import type {OpenWork} from './fleet-view.ts';
+
+/** A model call on its way through a router, a queue and an engine. */
+export type SimCall = EngineCall & {
+	router: number;
+	/** Grows when the call is lost and sent again. */
+	attempt: number;
+	/** Engine that the call was last sent to. */
+	engine: number;
+	/** Estimate of its work at that engine. */
+	work: OpenWork;
+	queued: QueuedCall;
+	expectedPauseMs: number;
+	isLastOfChain: boolean;
+	sentAtMs: number;
+	/** Called once, when the engine has finished the call. */
+	finish: () => void;
+};
--- a/packages/scheduler/src/decide-retention.ts
+++ b/packages/scheduler/src/decide-retention.ts
@@ -37,7 +37,7 @@
 		input.cacheUsedTokens / Math.max(1, input.cacheCapacityTokens);
 	if (
 		usedShare <= tuning.retentionCacheShare ||
-		pauseMs < LEAST_EXPORT_PAUSE_MS
+		(pauseMs < LEAST_EXPORT_PAUSE_MS && !input.nextToEvict)
 	) {
 		return 'keep';
 	}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -13,6 +13,7 @@
 export {compareCalls, type OrderContext} from './compare-calls.ts';
 export {decideRetention} from './decide-retention.ts';
 export {estimateWorkMs, type WorkTokens} from './estimate-work.ts';
+export {hasRoom} from './has-room.ts';
 export {orderQueue, pickNext} from './pick-next.ts';
 export {DEFAULT_TUNING, readTuning} from './policy-tuning.ts';
 export {type EngineDirectory, sampleViews} from './sample-views.ts';
--- a/packages/scheduler/src/policy-tuning.ts
+++ b/packages/scheduler/src/policy-tuning.ts
@@ -2,18 +2,19 @@
 
 /** Defaults of {@link PolicyTuning}. */
 export const DEFAULT_TUNING: PolicyTuning = {
-	prefillMsPerToken: 0.05,
-	decodeMsPerToken: 1.4,
-	stepMs: 22,
+	prefillMsPerToken: 0.06,
+	decodeMsPerToken: 0.85,
+	stepMs: 27,
 	zoneDelayMs: 1,
 	sampledEngines: 4,
 	starvationMs: 30_000,
 	fairnessSlackMs: 20_000,
-	admissionWaitMs: 4000,
+	admissionWaitMs: 300,
 	overloadWaitMs: 60_000,
-	admissionCacheShare: 1.5,
+	admissionCacheShare: 1,
 	transferMsPerToken: 0.005,
-	retentionCacheShare: 0.8,
+	runningCacheShare: 0.6,
+	retentionCacheShare: 0.88,
 };
 
 /**
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -97,6 +97,8 @@
 	admissionCacheShare: number;
 	/** Time to move one token of cache between the engine and host memory. */
 	transferMsPerToken: number;
+	/** Share of the cache that calls in flight may take; the rest holds the prefixes of paused programs. */
+	runningCacheShare: number;
 	/** Share of the cache up to which pauses of any length keep their cache. */
 	retentionCacheShare: number;
 };
@@ -147,6 +149,8 @@
 	cachedTokens: number;
 	/** Expected length of the pause; undefined when nothing is known. */
 	expectedPauseMs?: number;
+	/** True when the engine would evict this cache before any other; defaults to false. */
+	nextToEvict?: boolean;
 	/** True when the program has ended; its cache is never kept. */
 	programEnded: boolean;
 	cacheUsedTokens: number;
@@ -155,5 +159,14 @@
 	exportFreeTokens: number;
 };
 
+/** What a dispatcher has in flight at its engine. */
+export type InFlightLoad = {
+	slots: number;
+	inFlight: number;
+	/** Prompt and expected completion tokens of the calls in flight. */
+	inFlightTokens: number;
+	cacheCapacityTokens: number;
+};
+
 /** Random number in [0, 1). */
 export type RandomSource = () => number;
