Follow the disk of a replica in replace and repair

A VM whose disk was lost may return under the same daemon id. The command line compared daemon ids and took the old replica for the new one; it compares disk ids now and shows the progress that the leader reports.

--- a/packages/cli/src/api-types.ts
+++ b/packages/cli/src/api-types.ts
@@ -64,18 +64,24 @@
 	phase: string;
 };
 
-/** Replica of a group. */
+/** Replica of a group; `isLive` and `lagEntries` are known to the leader only. */
 export type ReplicaEntry = Record<string, unknown> & {
 	daemonId: string;
+	diskId?: string;
 	role: string;
-	state?: string;
+	isLive?: boolean;
+	lagEntries?: number;
 };
 
+/** Replacement of a replica under way. */
+export type RepairEntry = {phase: string; progress: number};
+
 /** Group in `GET /v1/operator/replication`. */
 export type GroupEntry = Record<string, unknown> & {
 	groupId: string;
 	leaderId?: string;
 	replicas: ReplicaEntry[];
+	repair?: RepairEntry;
 };
 
 export type ReplicationAnswer = {groups: GroupEntry[]};
--- a/packages/cli/src/commands/maintain.ts
+++ b/packages/cli/src/commands/maintain.ts
@@ -97,8 +97,19 @@
 	);
 };
 
-const describeReplica = ({daemonId, role, state}: ReplicaEntry): string =>
-	`${daemonId}:${role}${state ? `:${state}` : ''}`;
+const describeReplica = (replica: ReplicaEntry): string => {
+	const parts = [replica.daemonId, replica.role];
+	if (replica.isLive === false) {
+		parts.push('down');
+	} else if (replica.lagEntries) {
+		parts.push(`${replica.lagEntries} behind`);
+	}
+
+	return parts.join(':');
+};
+
+const describeRepair = ({repair}: GroupEntry): string | undefined =>
+	repair && `${repair.phase} ${Math.floor(repair.progress * 100)}%`;
 
 const formatGroups = (groups: GroupEntry[]): string =>
 	formatTable(
@@ -109,6 +120,7 @@
 				'REPLICAS',
 				(row) => row.replicas.map((entry) => describeReplica(entry)),
 			],
+			['REPAIR', describeRepair],
 		],
 		groups,
 	);
@@ -129,12 +141,22 @@
 	timeoutMs?: number;
 };
 
+/** Disk of a replica by its group; a returned daemon has the same id but another disk. */
+type LostDisks = Map<string, string | undefined>;
+
 /** Replaces the replicas of a lost disk VM and waits until the new ones are voters. */
 export const runReplacement = async (
 	context: CommandContext,
 	argv: ReplaceArguments,
 ): Promise<GroupEntry[]> => {
 	const client = createClient(context, argv);
+	const before = await readGroups(client);
+	const lostDisks: LostDisks = new Map(
+		before.map(({groupId, replicas}) => [
+			groupId,
+			replicas.find(({daemonId}) => daemonId === argv.lost)?.diskId,
+		]),
+	);
 	await client.json({
 		method: 'POST',
 		path: '/v1/operator/replicas/replace',
@@ -146,13 +168,17 @@
 		repeatable: true,
 		timeoutMs: 60_000,
 	});
-	let left: string[] = [];
+	let left = 'all groups';
 	return showProgress(
 		context.output,
-		() => `waiting for the groups ${left.join(', ')} to be repaired`,
+		() => `waiting for the repair of ${left}`,
 		async () =>
-			waitForReplicas(client, argv, (groupIds) => {
-				left = groupIds;
+			waitForReplicas(client, {...argv, lostDisks}, (groups) => {
+				left = groups
+					.map((group) =>
+						[group.groupId, describeRepair(group)].filter(Boolean).join(' '),
+					)
+					.join(', ');
 			}),
 	);
 };
@@ -173,21 +199,28 @@
 
 const isReplaced = (
 	group: GroupEntry,
-	{lost, with: replacement}: ReplaceArguments,
+	{
+		lost,
+		with: replacement,
+		lostDisks,
+	}: ReplaceArguments & {lostDisks: LostDisks},
 ): boolean => {
-	const isNewVoter = group.replicas.some(
-		({daemonId, role}) => daemonId === replacement && role !== 'learner',
+	const lostDisk = lostDisks.get(group.groupId);
+	const isLost = ({daemonId, diskId}: ReplicaEntry) =>
+		daemonId === lost && (lost !== replacement || diskId === lostDisk);
+	return (
+		!group.repair &&
+		!group.replicas.some((replica) => isLost(replica)) &&
+		group.replicas.some(
+			({daemonId, role}) => daemonId === replacement && role === 'voter',
+		)
 	);
-	const isLostGone =
-		lost === replacement ||
-		!group.replicas.some(({daemonId}) => daemonId === lost);
-	return isNewVoter && isLostGone;
 };
 
 const waitForReplicas = async (
 	client: ApiClient,
-	argv: ReplaceArguments,
-	report: (left: string[]) => void,
+	argv: ReplaceArguments & {lostDisks: LostDisks},
+	report: (left: GroupEntry[]) => void,
 ): Promise<GroupEntry[]> => {
 	const deadline = Date.now() + (argv.timeoutMs ?? 300_000);
 	let left: GroupEntry[] = [];
@@ -197,7 +230,7 @@
 			({groupId}) => argv.group === undefined || groupId === argv.group,
 		);
 		left = wanted.filter((group) => !isReplaced(group, argv));
-		report(left.map(({groupId}) => groupId));
+		report(left);
 		if (left.length === 0) {
 			return wanted;
 		}
--- a/packages/cli/src/commands/repair.test.ts
+++ b/packages/cli/src/commands/repair.test.ts
@@ -35,6 +35,19 @@
 		]);
 	});
 
+	it('lets a daemon that came back with another disk replace itself', () => {
+		const [first, second, third] = group.replicas;
+		const plan = planRepairs(
+			[{...group, replicas: [first!, second!, {...third!, isLive: false}]}],
+			['d1', 'd2', 'd3'].map((daemonId) =>
+				daemon(daemonId, 'zone-a', ['state']),
+			),
+		);
+		expect(plan).toEqual([
+			{groupId: 'shard-0', lostDaemonId: 'd3', newDaemonId: 'd3'},
+		]);
+	});
+
 	it('refuses when no spare disk is left', () => {
 		expect(() =>
 			planRepairs([group], [daemon('d1', 'zone-a', ['state'])]),
--- a/packages/cli/src/commands/repair.ts
+++ b/packages/cli/src/commands/repair.ts
@@ -21,8 +21,9 @@
 };
 
 /**
- * Plans a replacement for each replica whose daemon is not live, by a live daemon with a disk that has
- * no replica of the group; a daemon in the availability zone of no other replica goes first.
+ * Plans a replacement for each replica that is down. A daemon that is live again with another disk
+ * replaces itself; else a live daemon with a disk and without a replica of the group does, one in the
+ * availability zone of no other replica first.
  *
  * @throws RefusedError when no spare daemon is left for a group.
  */
@@ -45,9 +46,9 @@
 				(a, b) => Number(zones.has(a.zone)) - Number(zones.has(b.zone)),
 			);
 		return replicas
-			.filter(({daemonId}) => !live.has(daemonId))
+			.filter(({daemonId, isLive}) => isLive === false || !live.has(daemonId))
 			.map(({daemonId}) => {
-				const spare = spares.shift();
+				const spare = live.get(daemonId) ?? spares.shift();
 				if (!spare) {
 					throw new RefusedError(
 						`No spare daemon with a disk is live for group ${groupId}.`,
