Add the soak run of the replicated log and fix what it found

Harness faults found and fixed on the way: scheduled kills after the end of the fault phase, an unawaited check.

--- a/packages/consensus/src/follow.ts
+++ b/packages/consensus/src/follow.ts
@@ -31,6 +31,7 @@
 	}
 
 	state.leaderContactMs = nowMs;
+	state.skippedElections = 0;
 	resetElectionTimer(context);
 };
 
@@ -107,6 +108,10 @@
 ): void => {
 	const {state} = context;
 	followLeader(context, from);
+	if (state.isFetching) {
+		return;
+	}
+
 	const {previousIndex, previousTerm, entries} = message;
 	const known = state.log.termAt(previousIndex);
 	if (previousIndex > state.log.lastIndex) {
@@ -154,7 +159,10 @@
 ): void => {
 	const {state} = context;
 	followLeader(context, from);
-	advanceCommit(context, Math.min(message.commitIndex, state.log.lastIndex));
+	if (!state.isFetching) {
+		advanceCommit(context, Math.min(message.commitIndex, state.log.lastIndex));
+	}
+
 	sendMessage(
 		context,
 		from,
@@ -176,6 +184,7 @@
 		return;
 	}
 
+	state.isFetching = true;
 	actions.push({type: 'fetch-snapshot', from, meta: message.meta});
 };
 
@@ -185,6 +194,7 @@
 	meta: SnapshotMeta,
 ): void => {
 	const {state, actions} = context;
+	state.isFetching = false;
 	if (meta.index <= state.commitIndex) {
 		return;
 	}
--- a/packages/consensus/src/group-formation.ts
+++ b/packages/consensus/src/group-formation.ts
@@ -1,7 +1,12 @@
 import type {DaemonId, DiskId} from '@marjoramcove/types';
 import type {GroupPort} from './group-port.ts';
 import type {Formation} from './log-records.ts';
-import type {Membership, ReplicaDescriptor} from './membership.ts';
+import {
+	EMPTY_MEMBERSHIP,
+	findReplica,
+	type Membership,
+	type ReplicaDescriptor,
+} from './membership.ts';
 import type {FormationMessage} from './peer-messages.ts';
 import type {InitialVoter} from './replica-options.ts';
 
@@ -14,7 +19,8 @@
 	initialVoters: readonly InitialVoter[];
 	/** What the disk holds. */
 	formation: Formation;
-	isMember: () => boolean;
+	/** The present membership, as far as it is known. */
+	currentMembership: () => Membership;
 	/** Writes the formation; resolves when it is durable. */
 	save: (formation: Formation) => Promise<void>;
 	/** Sets the first membership. */
@@ -34,6 +40,8 @@
 	readonly #options: GroupFormationOptions;
 	readonly #coordinatorId: DaemonId | undefined;
 	readonly #promised = new Map<DaemonId, DiskId>();
+	/** Members that other replicas have named. */
+	#namedIds: DaemonId[] = [];
 	#askDueMs = Number.NEGATIVE_INFINITY;
 	/** Another replica knows a membership without this disk. */
 	#isForeign = false;
@@ -62,11 +70,17 @@
 		return this.#coordinatorId === this.#options.port.self.daemonId;
 	}
 
+	get #isMember() {
+		const {port, currentMembership} = this.#options;
+		const {diskId} = port.self;
+		return findReplica(currentMembership(), diskId) !== undefined;
+	}
+
 	/** Asks the other initial voters as long as this replica does not belong to the group. */
 	tick(): void {
-		const {port, isMember} = this.#options;
+		const {port} = this.#options;
 		const nowMs = port.clock.nowMs();
-		if (isMember() || nowMs < this.#askDueMs) {
+		if (this.#isMember || nowMs < this.#askDueMs) {
 			return;
 		}
 
@@ -78,7 +92,11 @@
 			return;
 		}
 
-		for (const {daemonId} of this.#others()) {
+		const asked = new Set([
+			...this.#others().map((voter) => voter.daemonId),
+			...this.#namedIds,
+		]);
+		for (const daemonId of asked) {
 			port.send(
 				{daemonId, diskId: ''},
 				{type: isForming ? 'form-query' : 'form-ask'},
@@ -117,19 +135,25 @@
 		);
 	}
 
+	/** Tells what is known; a replica that joined later knows no first membership. */
 	#sendResult(to: ReplicaDescriptor) {
 		const {formedBy, membership} = this.formation;
-		if (membership) {
+		const current = this.#options.currentMembership();
+		if (membership ?? current.voters[0]) {
 			this.#options.port.send(to, {
 				type: 'form-result',
 				formedBy: formedBy ?? ('' as DiskId),
-				membership,
+				membership: membership ?? EMPTY_MEMBERSHIP,
+				current,
 			});
 		}
 	}
 
 	async #answerQuery(from: ReplicaDescriptor) {
-		if (this.formation.membership) {
+		if (
+			this.formation.membership ??
+			this.#options.currentMembership().voters[0]
+		) {
 			this.#sendResult(from);
 			return;
 		}
@@ -193,6 +217,10 @@
 	}
 
 	#noteResult(result: Extract<FormationMessage, {type: 'form-result'}>) {
+		const {voters, learners} = result.current;
+		this.#namedIds = [...voters, ...learners]
+			.map((replica) => replica.daemonId)
+			.filter((daemonId) => daemonId !== this.#options.port.self.daemonId);
 		if (this.formation.membership !== undefined || this.#isSaving) {
 			return;
 		}
--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -77,6 +77,7 @@
 	state.round = 0;
 	state.confirmedRound = 0;
 	state.leaderSinceMs = nowMs;
+	state.skippedElections = 0;
 	state.heartbeatDueMs = nowMs;
 	state.uncommittedBytes = 0;
 	noteLeader(context, self);
--- a/packages/consensus/src/log-records.ts
+++ b/packages/consensus/src/log-records.ts
@@ -56,8 +56,12 @@
 	votedFor: DiskId | undefined,
 ): LogRecord => jsonRecord(group, HARD_STATE, {term, votedFor});
 
-const resetRecord = (group: GroupId, index: number, term: number): LogRecord =>
-	jsonRecord(group, LOG_RESET, {index, term});
+/** The log on the disk starts anew after this entry. */
+export const resetRecord = (
+	group: GroupId,
+	index: number,
+	term: number,
+): LogRecord => jsonRecord(group, LOG_RESET, {index, term});
 
 export const formationRecord = (
 	group: GroupId,
--- a/packages/consensus/src/peer-codec.ts
+++ b/packages/consensus/src/peer-codec.ts
@@ -106,6 +106,7 @@
 		[
 			['formedBy', 'text'],
 			['membership', 'json'],
+			['current', 'json'],
 		],
 	],
 	['form-ask', []],
--- a/packages/consensus/src/peer-messages.ts
+++ b/packages/consensus/src/peer-messages.ts
@@ -22,7 +22,14 @@
 	/** The sender is new and will join only what this coordinator disk forms. */
 	| {type: 'form-promise'}
 	/** The sender knows the first membership; formed by the given coordinator disk. */
-	| {type: 'form-result'; formedBy: DiskId; membership: Membership}
+	| {
+			type: 'form-result';
+			formedBy: DiskId;
+			/** The first membership. */
+			membership: Membership;
+			/** The present one: a disk that asks to join asks its members, too. */
+			current: Membership;
+	  }
 	/** A new replica asks for the result. */
 	| {type: 'form-ask'};
 
--- a/packages/consensus/src/raft-state.ts
+++ b/packages/consensus/src/raft-state.ts
@@ -94,7 +94,9 @@
 		pendingReads: [],
 		transfer: undefined,
 		isStalled: false,
+		isFetching: false,
 		isCandidacyAllowed: true,
+		skippedElections: 0,
 		uncommittedBytes: 0,
 	};
 };
@@ -112,10 +114,17 @@
 	state.memberships.findLast((known) => known.index <= index)?.membership ??
 	EMPTY_MEMBERSHIP;
 
+/**
+ * Election timeouts that a draining replica leaves to others. It then stands for election after all,
+ * because it may be the only one whose log is complete enough to win.
+ */
+const SKIPPED_ELECTIONS = 3;
+
 /** Whether the replica may stand for election. */
 export const canCampaign = (state: RaftState): boolean =>
-	state.isCandidacyAllowed &&
+	(state.isCandidacyAllowed || state.skippedElections >= SKIPPED_ELECTIONS) &&
 	!state.isStalled &&
+	!state.isFetching &&
 	isVoter(currentMembership(state), state.selfId);
 
 export const resetElectionTimer = (context: StepContext): void => {
--- a/packages/consensus/src/raft-types.ts
+++ b/packages/consensus/src/raft-types.ts
@@ -105,10 +105,12 @@
 	| {type: 'snapshot-taken'; index: number}
 	/** A fetched snapshot is on the disk and may replace the state. */
 	| {type: 'snapshot-installed'; meta: SnapshotMeta}
+	/** The fetch of a snapshot was given up. */
+	| {type: 'fetch-abandoned'}
 	| {type: 'transfer-leadership'}
 	/** The disk takes no writes, or takes them again. */
 	| {type: 'storage-stalled'; isStalled: boolean}
-	/** The replica stops or starts to stand for election. */
+	/** The replica leaves elections to others, or stands for election again. */
 	| {type: 'set-candidacy'; isAllowed: boolean};
 
 export type RaftAction =
@@ -199,7 +201,11 @@
 	pendingReads: PendingRead[];
 	transfer: {to: DiskId; dueMs: number} | undefined;
 	isStalled: boolean;
+	/** A snapshot is being fetched; nothing may be applied, or the history would get out of order. */
+	isFetching: boolean;
 	isCandidacyAllowed: boolean;
+	/** Election timeouts that passed without a candidacy because it is not allowed. */
+	skippedElections: number;
 	uncommittedBytes: number;
 };
 
--- a/packages/consensus/src/recover-replica.ts
+++ b/packages/consensus/src/recover-replica.ts
@@ -13,8 +13,8 @@
 	);
 };
 
-/** Entries after the snapshot, provided that the log contains the snapshot's last entry. */
-const entriesAfter = (
+/** Whether the log contains the last entry of the snapshot. */
+const isContinuous = (
 	start: {index: number; term: number},
 	log: RecoveredLog,
 ) => {
@@ -23,15 +23,15 @@
 		base.index === start.index
 			? (base.term ?? start.term)
 			: log.entries[start.index - base.index - 1]?.term;
-	// A log without that entry is older than the snapshot, or differs from it.
-	return termAtStart === start.term
-		? log.entries.slice(start.index - base.index)
-		: [];
+	return termAtStart === start.term;
 };
 
 /**
  * Joins what the log and the latest snapshot of a group hold.
  *
+ * A log that does not contain the snapshot's last entry is older than the snapshot or differs from
+ * it, and is discarded: the crash came between the snapshot and the record that restarts the log.
+ *
  * @throws DataCorruptionError when entries between them are missing.
  */
 export const recoverReplica = (
@@ -39,7 +39,7 @@
 	selfId: DiskId,
 	log: RecoveredLog,
 	snapshot: SnapshotMeta | undefined,
-): RecoveredReplica => {
+): RecoveredReplica & {isLogDiscarded: boolean} => {
 	const start = snapshot ?? {index: 0, term: 0};
 	if (log.base && log.base.index > start.index) {
 		refuse(
@@ -48,7 +48,10 @@
 		);
 	}
 
+	const baseIndex = log.base?.index ?? start.index;
+	const isLogDiscarded = !isContinuous(start, log);
 	return {
+		isLogDiscarded,
 		groupId,
 		selfId,
 		term: Math.max(log.term, start.term),
@@ -57,7 +60,7 @@
 		baseTerm: start.term,
 		membership:
 			snapshot?.membership ?? log.formation.membership ?? EMPTY_MEMBERSHIP,
-		entries: entriesAfter(start, log),
+		entries: isLogDiscarded ? [] : log.entries.slice(start.index - baseIndex),
 		snapshotIndex: start.index,
 	};
 };
--- a/packages/consensus/src/replica-group.ts
+++ b/packages/consensus/src/replica-group.ts
@@ -12,6 +12,7 @@
 	formationRecord,
 	hardStateRecord,
 	noteSegment,
+	resetRecord,
 	type EntrySegment,
 	type RecoveredLog,
 } from './log-records.ts';
@@ -108,19 +109,30 @@
 		this.#waiters = new Waiters(groupId);
 		this.#keeper = new SnapshotKeeper(port, groupId, snapshot?.meta);
 		this.source = new SnapshotSource(port, groupId, history);
+		const recovered = recoverReplica(
+			groupId,
+			port.self.diskId,
+			log,
+			snapshot?.meta,
+		);
 		this.state = createRaftState(
-			recoverReplica(groupId, port.self.diskId, log, snapshot?.meta),
+			recovered,
 			port.settings,
 			port.clock.nowMs(),
 			port.random,
 		);
+		if (recovered.isLogDiscarded) {
+			// Without this record the next entry would leave a gap in the log on the disk.
+			void this.#write([
+				resetRecord(groupId, recovered.baseIndex, recovered.baseTerm),
+			]);
+		}
+
 		this.#formation = new GroupFormation({
 			port,
 			initialVoters: opening.initialVoters,
 			formation: log.formation,
-			isMember: () =>
-				findReplica(currentMembership(this.state), port.self.diskId) !==
-				undefined,
+			currentMembership: () => currentMembership(this.state),
 			save: async (formation) => {
 				void this.#write([formationRecord(groupId, formation)]);
 				return this.afterWrites();
@@ -189,6 +201,10 @@
 
 	tick(): void {
 		this.step({type: 'tick'});
+		if (this.#isDraining && this.isLeader) {
+			this.step({type: 'transfer-leadership'});
+		}
+
 		this.#formation.tick();
 		this.source.tick();
 		this.#fetch?.tick();
@@ -208,7 +224,7 @@
 		) {
 			this.#fetch?.receive(from, message);
 		} else {
-			this.#receiveRaft(from, message);
+			this.step({type: 'message', from, message});
 		}
 	}
 
@@ -248,11 +264,8 @@
 
 	/** Gives the leadership away and does not stand for election any more. */
 	drain(): void {
-		if (!this.#isDraining) {
-			this.#isDraining = true;
-			this.#updateCandidacy();
-		}
-
+		this.#isDraining = true;
+		this.step({type: 'set-candidacy', isAllowed: false});
 		this.step({type: 'transfer-leadership'});
 	}
 
@@ -276,16 +289,6 @@
 		this.#deferred = [];
 	}
 
-	#receiveRaft(from: ReplicaDescriptor, message: RaftMessage) {
-		// While the history is copied nothing may be applied, because it would be appended out of place.
-		if (this.#fetch !== undefined && message.type === 'append') {
-			this.#fetch.noteAppend();
-			return;
-		}
-
-		this.step({type: 'message', from, message});
-	}
-
 	#join(membership: Membership) {
 		const [first] = this.state.memberships;
 		if (first?.membership.voters.length === 0) {
@@ -465,7 +468,6 @@
 				this.#finishFetch(fetched);
 			},
 		});
-		this.#updateCandidacy();
 	}
 
 	#finishFetch(meta: SnapshotMeta | undefined) {
@@ -473,15 +475,10 @@
 			this.#keeper.latest = meta;
 			this.step({type: 'snapshot-installed', meta});
 			this.#port.snapshotSaved();
+		} else {
+			this.step({type: 'fetch-abandoned'});
 		}
 
 		this.#fetch = undefined;
-		this.#updateCandidacy();
-	}
-
-	#updateCandidacy() {
-		// No entry may be applied while the history is incomplete, so the replica must not lead then.
-		const isAllowed = !this.#isDraining && this.#fetch === undefined;
-		this.step({type: 'set-candidacy', isAllowed});
 	}
 }
--- a/packages/consensus/src/replica-host.ts
+++ b/packages/consensus/src/replica-host.ts
@@ -64,7 +64,11 @@
 	static async open(options: ReplicaHostOptions): Promise<ReplicaHost> {
 		const fileSystem = options.fileSystem ?? new NodeFileSystem();
 		const {folder} = options;
-		const diskId = await openDiskId(fileSystem, folder, options.createDiskId);
+		await fileSystem.makeFolder(path.join(folder, 'wal'));
+		const diskId = await openDiskId(fileSystem, folder, {
+			usedFolders: ['wal'],
+			createId: options.createDiskId,
+		});
 		const clock = options.clock ?? new SystemClock();
 		const stall = {onChange: (_isFull: boolean): void => undefined};
 		const log = await WriteAheadLog.open(fileSystem, path.join(folder, 'wal'), {
--- a/packages/consensus/src/snapshot-fetch.ts
+++ b/packages/consensus/src/snapshot-fetch.ts
@@ -8,7 +8,7 @@
 /** A request is sent again after this time without an answer. */
 const RETRY_MS = 500;
 /** The fetch is given up after this time without an answer or a new offer. */
-const GIVE_UP_MS = 5000;
+const GIVE_UP_MS = 3000;
 
 type Chunk = Extract<
 	TransferMessage,
@@ -77,13 +77,6 @@
 		}
 	}
 
-	/** The leader sends entries instead of a snapshot: the fetch may be obsolete. */
-	noteAppend(): void {
-		if (this.#nowMs - this.#progressAtMs > 2 * RETRY_MS) {
-			void this.#giveUp();
-		}
-	}
-
 	tick(): void {
 		if (this.#nowMs - this.#progressAtMs > GIVE_UP_MS) {
 			void this.#giveUp();
--- a/packages/consensus/src/step-raft.ts
+++ b/packages/consensus/src/step-raft.ts
@@ -53,6 +53,8 @@
 	if (canCampaign(state)) {
 		startPreVote(context);
 	} else {
+		state.skippedElections += 1;
+		state.role = 'follower';
 		state.leader = undefined;
 		resetElectionTimer(context);
 	}
@@ -294,6 +296,9 @@
 	'snapshot-installed'(context, event) {
 		installSnapshot(context, event.meta);
 	},
+	'fetch-abandoned'(context) {
+		context.state.isFetching = false;
+	},
 	'transfer-leadership': startTransfer,
 	'storage-stalled': setStalled,
 	'set-candidacy'(context, event) {
--- /dev/null
+++ b/packages/soak/src/consensus/cluster.ts
@@ -0,0 +1,127 @@
+import {
+	DataCorruptionError,
+	InvariantViolationError,
+	MarjoramcoveError,
+} from '@marjoramcove/errors';
+import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
+import type {RandomSource} from '../random-source.ts';
+import {VirtualTime} from '../virtual-time.ts';
+import {EventLog} from './event-log.ts';
+import {CONSENSUS_FAULTS} from './faults.ts';
+import {SimulatedDaemon} from './simulated-daemon.ts';
+import {SimulatedNetwork} from './simulated-network.ts';
+
+/** Errors that an injected fault of the disk explains. */
+const isExpectedFailure = (error: unknown): boolean => {
+	if (
+		error instanceof InvariantViolationError ||
+		error instanceof DataCorruptionError
+	) {
+		return false;
+	}
+
+	const {code} = error as {code?: unknown};
+	return (
+		code === 'ENOSPC' ||
+		code === 'EIO' ||
+		(error instanceof MarjoramcoveError && error.reason === 'log-failed')
+	);
+};
+
+/** Daemons, network and time of one round. */
+export class Cluster {
+	readonly time = new VirtualTime();
+	readonly events = new EventLog(this.time);
+	readonly network: SimulatedNetwork;
+	readonly groupIds: readonly GroupId[];
+	readonly daemons: SimulatedDaemon[] = [];
+	readonly #random: RandomSource;
+
+	constructor(
+		random: RandomSource,
+		shape: {voters: number; groups: number},
+		fault: string | undefined,
+	) {
+		this.#random = random;
+		this.groupIds = Array.from({length: shape.groups}, (_, group) =>
+			asId<GroupId>(`shard-${group}`),
+		);
+		this.network = new SimulatedNetwork(
+			this.time,
+			random,
+			(from, to, bytes) => {
+				this.#find(to)?.receive(from, bytes);
+			},
+		);
+		const ids = Array.from({length: shape.voters + 1}, (_, number) =>
+			asId<DaemonId>(`d${number + 1}`),
+		);
+		for (const id of ids) {
+			this.daemons.push(
+				new SimulatedDaemon(id, {
+					time: this.time,
+					random,
+					groupIds: this.groupIds,
+					// The last daemon is a spare one.
+					initialIds: ids.slice(0, shape.voters),
+					send: (from, to, bytes) => {
+						this.network.send(from, to, bytes);
+					},
+					onFatal: (daemon, error) => {
+						this.#noteFatal(daemon, error);
+					},
+					...(fault === undefined ? {} : CONSENSUS_FAULTS[fault]),
+				}),
+			);
+		}
+	}
+
+	get random(): RandomSource {
+		return this.#random;
+	}
+
+	/** Daemons whose host runs and is not frozen. */
+	get liveDaemons(): SimulatedDaemon[] {
+		return this.daemons.filter((daemon) => daemon.host && !daemon.isFrozen);
+	}
+
+	/** Daemons that believe to lead the group; more than one when an old leader does not know yet. */
+	findLeaders(groupId: GroupId): SimulatedDaemon[] {
+		return this.liveDaemons.filter(
+			(daemon) => daemon.host!.leadership(groupId).isLeader,
+		);
+	}
+
+	/** The latest leader of the group. */
+	findLeader(groupId: GroupId): SimulatedDaemon | undefined {
+		return this.findLeaders(groupId).toSorted(
+			(a, b) =>
+				b.host!.leadership(groupId).term - a.host!.leadership(groupId).term,
+		)[0];
+	}
+
+	/** Starts the daemon after a delay unless it runs by then. */
+	restartLater(daemon: SimulatedDaemon, delayMs: number): void {
+		this.time.schedule(delayMs, () => {
+			if (!daemon.isRunning) {
+				this.events.note('restart', daemon.id);
+				void daemon.start();
+			}
+		});
+	}
+
+	#find(id: string) {
+		return this.daemons.find((daemon) => daemon.id === id);
+	}
+
+	#noteFatal(daemon: SimulatedDaemon, error: unknown) {
+		if (!isExpectedFailure(error)) {
+			this.events.fail(`${daemon.id} stopped: ${String(error)}`, error);
+			return;
+		}
+
+		this.events.note('process-stopped', `${daemon.id} ${String(error)}`);
+		daemon.kill();
+		this.restartLater(daemon, 500);
+	}
+}
--- /dev/null
+++ b/packages/soak/src/consensus/faults.ts
@@ -0,0 +1,49 @@
+import {stepRaft} from '@marjoramcove/consensus';
+import type {DaemonSurroundings} from './simulated-daemon.ts';
+
+type Step = typeof stepRaft;
+
+/** Lets messages of these types leave before the writes that they depend on are durable. */
+const sendBeforeSync =
+	(types: ReadonlySet<string>): Step =>
+	(state, event, nowMs, random) => {
+		const result = stepRaft(state, event, nowMs, random);
+		for (const action of result.actions) {
+			if (action.type === 'send' && types.has(action.message.type)) {
+				action.isAfterSync = false;
+			}
+		}
+
+		return result;
+	};
+
+/** Answers reads without asking a majority. */
+const readWithoutQuorum: Step = (state, event, nowMs, random) =>
+	event.type === 'read' && state.role === 'leader'
+		? {
+				state,
+				actions: [{type: 'reply-read', id: event.id, index: state.commitIndex}],
+			}
+		: stepRaft(state, event, nowMs, random);
+
+/** Grants every vote of a term that is not older, although one was given already. */
+const forgetVote: Step = (state, event, nowMs, random) => {
+	if (event.type === 'message' && event.message.type === 'vote') {
+		state.votedFor = undefined;
+		state.durableVote = undefined;
+	}
+
+	return stepRaft(state, event, nowMs, random);
+};
+
+/** Deliberate faults of the harness. Each must make a check fail. */
+export const CONSENSUS_FAULTS: Record<string, Partial<DaemonSurroundings>> = {
+	'skip-fsync': {isSyncSkipped: (file) => file.includes('/wal/')},
+	'vote-before-sync': {
+		step: sendBeforeSync(new Set(['vote', 'vote-response'])),
+	},
+	'append-before-sync': {step: sendBeforeSync(new Set(['append-response']))},
+	'no-quorum-read': {step: readWithoutQuorum},
+	'double-vote': {step: forgetVote},
+	'reuse-disk-id': {createDiskId: (daemonId) => `disk-${daemonId}`},
+};
--- /dev/null
+++ b/packages/soak/src/consensus/nemesis.ts
@@ -0,0 +1,310 @@
+import type {Cluster} from './cluster.ts';
+import type {RepairOperator} from './repair-operator.ts';
+import type {SimulatedDaemon} from './simulated-daemon.ts';
+import {GOOD_NETWORK} from './simulated-network.ts';
+
+/** Causes faults that are drawn from the seed. Several can be in force at once. */
+export class Nemesis {
+	readonly #cluster: Cluster;
+	readonly #operator: RepairOperator;
+	readonly #faults: Array<() => void>;
+	#spare: SimulatedDaemon;
+	#isHealed = false;
+
+	constructor(cluster: Cluster, operator: RepairOperator) {
+		this.#cluster = cluster;
+		this.#operator = operator;
+		this.#spare = cluster.daemons.at(-1)!;
+		this.#faults = [
+			this.#disturbNetwork,
+			this.#partition,
+			this.#partition,
+			this.#kill,
+			this.#crash,
+			this.#crash,
+			this.#crashAll,
+			this.#freeze,
+			this.#fillDisk,
+			this.#failSync,
+			this.#slowDisk,
+			this.#changeClock,
+			this.#loseDisk,
+			this.#drain,
+			this.#disturbElection,
+		].map((fault) => fault.bind(this));
+	}
+
+	/** Causes one fault. */
+	act(): void {
+		this.#cluster.random.pick(this.#faults)();
+	}
+
+	/** Ends all faults but lost disks, whose repair goes on. */
+	heal(): void {
+		const {network, daemons, time, random} = this.#cluster;
+		this.#isHealed = true;
+		network.conditions = GOOD_NETWORK;
+		network.blocked.clear();
+		for (const daemon of daemons) {
+			daemon.disk.capacityBytes = Number.POSITIVE_INFINITY;
+			daemon.disk.clearFailures();
+			daemon.syncMs = 4;
+			if (daemon.isFrozen) {
+				daemon.thaw();
+			}
+
+			time.schedule(random.uniform() * 100, () => {
+				if (!daemon.isRunning) {
+					void daemon.start();
+				}
+			});
+		}
+	}
+
+	#pickDaemon() {
+		return this.#cluster.random.pick(this.#cluster.daemons);
+	}
+
+	#disturbNetwork() {
+		const {random, network, events} = this.#cluster;
+		network.conditions = random.chance(0.3)
+			? GOOD_NETWORK
+			: {
+					lossProbability: random.uniform() * 0.3,
+					duplicateProbability: random.uniform() * 0.3,
+					longDelayProbability: random.uniform() * 0.3,
+					longDelayMs: random.pick([20, 200, 3000]),
+				};
+		events.note('network-change', JSON.stringify(network.conditions));
+	}
+
+	#partition() {
+		const {random, network, daemons, events, time} = this.#cluster;
+		const isolated = random.chance(0.5)
+			? [this.#pickDaemon()]
+			: daemons.filter(() => random.chance(0.5));
+		const direction = random.pick(['both', 'from', 'to']);
+		const added: string[] = [];
+		for (const inside of isolated) {
+			for (const outside of daemons) {
+				if (!isolated.includes(outside)) {
+					if (direction !== 'to') {
+						added.push(`${inside.id}>${outside.id}`);
+					}
+
+					if (direction !== 'from') {
+						added.push(`${outside.id}>${inside.id}`);
+					}
+				}
+			}
+		}
+
+		for (const pair of added) {
+			network.blocked.add(pair);
+		}
+
+		events.note(
+			`partition-${direction === 'both' ? 'two-way' : 'one-way'}`,
+			added.join(' '),
+		);
+		time.schedule(500 + random.uniform() * 6000, () => {
+			for (const pair of added) {
+				network.blocked.delete(pair);
+			}
+		});
+	}
+
+	#kill() {
+		const daemon = this.#pickDaemon();
+		this.#cluster.events.note('kill', daemon.id);
+		daemon.kill();
+		this.#cluster.restartLater(daemon, this.#restartDelay());
+	}
+
+	#crash() {
+		const {random, events} = this.#cluster;
+		const daemon = this.#pickDaemon();
+		const isTorn = random.chance(0.5);
+		events.note(isTorn ? 'crash-torn-tail' : 'crash-unsynced-lost', daemon.id);
+		daemon.crash(isTorn);
+		this.#cluster.restartLater(daemon, this.#restartDelay());
+	}
+
+	#crashAll() {
+		const {random, events, daemons} = this.#cluster;
+		events.note('crash-all');
+		for (const daemon of daemons) {
+			daemon.crash(random.chance(0.5));
+			this.#cluster.restartLater(daemon, this.#restartDelay());
+		}
+	}
+
+	#freeze() {
+		const {random, events, time} = this.#cluster;
+		const daemon = this.#pickDaemon();
+		const durationMs = random.pick([300, 2500, 6000]);
+		events.note('freeze', `${daemon.id} for ${durationMs} ms`);
+		daemon.freeze();
+		time.schedule(durationMs, () => {
+			if (daemon.isFrozen) {
+				daemon.thaw();
+			}
+		});
+	}
+
+	#fillDisk() {
+		const {random, events, time} = this.#cluster;
+		const {disk, id} = this.#pickDaemon();
+		disk.capacityBytes = disk.usedBytes + random.integer(0, 2000);
+		events.note('disk-full', id);
+		time.schedule(1000 + random.uniform() * 4000, () => {
+			disk.capacityBytes = Number.POSITIVE_INFINITY;
+		});
+	}
+
+	#failSync() {
+		const daemon = this.#pickDaemon();
+		this.#cluster.events.note('sync-error', daemon.id);
+		daemon.disk.failNext('sync');
+	}
+
+	#slowDisk() {
+		const {random, events} = this.#cluster;
+		const daemon = this.#pickDaemon();
+		daemon.syncMs = random.pick([0, 4, 40, 300]);
+		events.note('sync-time', `${daemon.id} up to ${daemon.syncMs} ms`);
+	}
+
+	#changeClock() {
+		const daemon = this.#pickDaemon();
+		// Rates differ by at most 1%, see MAX_CLOCK_DRIFT.
+		daemon.setClockRate(0.995 + this.#cluster.random.uniform() * 0.01);
+		this.#cluster.events.note(
+			'clock-rate',
+			`${daemon.id} ${daemon.clockRate.toFixed(4)}`,
+		);
+	}
+
+	#drain() {
+		const {events, time} = this.#cluster;
+		const daemon = this.#pickDaemon();
+		if (daemon.host && !daemon.isFrozen) {
+			events.note('drain', daemon.id);
+			void daemon.host.drain();
+			time.schedule(this.#restartDelay(), () => {
+				if (!this.#isHealed) {
+					daemon.kill();
+					this.#cluster.restartLater(daemon, 10);
+				}
+			});
+		}
+	}
+
+	/** Loses one disk, or a minority of them, when no earlier loss is under repair. */
+	#loseDisk() {
+		const {groupIds, daemons, random, events} = this.#cluster;
+		const isSafe =
+			this.#operator.isIdle &&
+			groupIds.every((groupId) => this.#operator.isWhole(groupId));
+		if (!isSafe) {
+			return;
+		}
+
+		const voters = daemons.filter((daemon) => daemon !== this.#spare);
+		const most = Math.floor((voters.length - 1) / 2);
+		const count = random.integer(1, most);
+		for (let lost = 0; lost < count; lost++) {
+			const daemon = random.pick(voters);
+			voters.splice(voters.indexOf(daemon), 1);
+			events.note('disk-lost', daemon.id);
+			daemon.loseDisk();
+			this.#replace(daemon);
+		}
+	}
+
+	#replace(lost: SimulatedDaemon) {
+		const {random} = this.#cluster;
+		if (random.chance(0.5) && this.#spare.diskId) {
+			const replacement = this.#spare;
+			this.#spare = lost;
+			this.#operator.order(lost, replacement);
+		} else {
+			this.#operator.order(lost, lost);
+		}
+
+		this.#cluster.restartLater(lost, this.#restartDelay());
+	}
+
+	/**
+	 * Forces an election among replicas with slow disks of which only one, the hub, reaches all
+	 * others, and crashes the hub shortly after it was asked for its vote.
+	 */
+	#disturbElection() {
+		const {random, network, daemons, events, time} = this.#cluster;
+		const hub = this.#pickDaemon();
+		events.note('election-disturbed', `hub ${hub.id}`);
+		const sides = new Map(
+			daemons.map((daemon) => [daemon, random.chance(0.5)]),
+		);
+		const added: string[] = [];
+		for (const from of daemons) {
+			from.syncMs = 300;
+			for (const to of daemons) {
+				if (from !== hub && to !== hub && sides.get(from) !== sides.get(to)) {
+					added.push(`${from.id}>${to.id}`);
+					network.blocked.add(`${from.id}>${to.id}`);
+				}
+			}
+		}
+
+		for (const groupId of this.#cluster.groupIds) {
+			const leader = this.#cluster.findLeader(groupId);
+			leader?.kill();
+			if (leader) {
+				this.#cluster.restartLater(leader, 20);
+			}
+		}
+
+		this.#crashAfterVote(hub, time.nowMs + 4000);
+		time.schedule(6000, () => {
+			for (const pair of added) {
+				network.blocked.delete(pair);
+			}
+
+			for (const daemon of daemons) {
+				daemon.syncMs = 4;
+			}
+		});
+	}
+
+	#crashAfterVote(hub: SimulatedDaemon, untilMs: number) {
+		const {daemons, time, random} = this.#cluster;
+		const isElection = daemons.some(
+			(daemon) =>
+				daemon !== hub &&
+				daemon.host?.status().some((group) => group.role === 'candidate'),
+		);
+		if (this.#isHealed || time.nowMs > untilMs) {
+			return;
+		}
+
+		if (!isElection) {
+			time.schedule(2, () => {
+				this.#crashAfterVote(hub, untilMs);
+			});
+			return;
+		}
+
+		time.schedule(random.uniform() * 40, () => {
+			if (!this.#isHealed) {
+				hub.crash(false);
+				this.#cluster.restartLater(hub, 5);
+			}
+		});
+	}
+
+	#restartDelay() {
+		const {random} = this.#cluster;
+		return random.chance(0.5) ? random.uniform() * 50 : random.uniform() * 4000;
+	}
+}
--- a/packages/storage/src/disk-id.ts
+++ b/packages/storage/src/disk-id.ts
@@ -7,13 +7,22 @@
 
 const DISK_ID_PATTERN = /^disk-[\da-z-]{1,64}\n$/u;
 
+/** Settings of {@link openDiskId}. */
+export type OpenDiskIdOptions = {
+	/** Folders that must be empty when the disk has no identity yet. */
+	usedFolders?: readonly string[];
+	createId?: () => string;
+};
+
+const createRandomId = () => `disk-${randomBytes(10).toString('hex')}`;
+
 /**
  * Reads the identity of the disk and creates it when the folder has none.
  *
  * An empty disk gets a new identity, so a replica that lost its disk cannot be taken for the voter
  * that it was.
  *
- * @throws DataCorruptionError when the file exists but holds no valid id.
+ * @throws DataCorruptionError when the file holds no valid id, or is missing on a used disk.
  * @example
  * ```ts
  * const diskId = await openDiskId(new NodeFileSystem(), '/var/lib/marjoramcove');
@@ -22,7 +31,7 @@
 export const openDiskId = async (
 	fileSystem: FileSystem,
 	folder: string,
-	createId: () => string = () => `disk-${randomBytes(10).toString('hex')}`,
+	{usedFolders = [], createId = createRandomId}: OpenDiskIdOptions = {},
 ): Promise<DiskId> => {
 	await fileSystem.makeFolder(folder);
 	const file = path.join(folder, 'disk-id');
@@ -33,9 +42,23 @@
 			throw new DataCorruptionError(file, 0, 'it holds no valid disk id');
 		}
 
+		// A process that was killed may have written the file without syncing its name. Another crash
+		// would then give the disk a second identity while its log still holds votes of the first.
+		await fileSystem.syncFolder(folder);
 		return asId<DiskId>(text.trim());
 	}
 
+	for (const used of usedFolders) {
+		const [name] = await fileSystem.list(path.join(folder, used));
+		if (name !== undefined) {
+			throw new DataCorruptionError(
+				file,
+				0,
+				`it is missing, but ${used}/${name} exists`,
+			);
+		}
+	}
+
 	const id = createId();
 	await writeFileDurably(fileSystem, file, Buffer.from(`${id}\n`));
 	return asId<DiskId>(id);
--- a/packages/storage/src/memory-file-system.ts
+++ b/packages/storage/src/memory-file-system.ts
@@ -1,5 +1,6 @@
 import path from 'node:path';
 import {FileSystem, OpenFile} from './file-system.ts';
+import {MemoryDisk, MemoryFile} from './memory-disk.ts';
 
 /** Operations of a {@link MemoryFileSystem} that can fail or be delayed. */
 export type FileOperation =
@@ -8,43 +9,14 @@
 /** Settings of a {@link MemoryFileSystem}. */
 export type MemoryFileSystemOptions = {
 	/** Called before each operation; a returned promise delays it, so that a crash can hit it midway. */
-	delay?: (operation: FileOperation) => Promise<void> | undefined;
-};
-
-type Change = {position: number; bytes: Uint8Array} | {sizeBytes: number};
-
-type Node = {
-	content: Buffer;
-	sizeBytes: number;
-	/** Content after the last sync, and the changes since, in order. */
-	durable: Buffer;
-	changes: Change[];
-};
-
-const applyChange = (content: Buffer, change: Change): Buffer => {
-	if ('sizeBytes' in change) {
-		const result = Buffer.alloc(change.sizeBytes);
-		content.copy(result);
-		return result;
-	}
-
-	const end = change.position + change.bytes.length;
-	const result = Buffer.alloc(Math.max(content.length, end));
-	content.copy(result);
-	result.set(change.bytes, change.position);
-	return result;
+	delay?: (operation: FileOperation, file: string) => Promise<void> | undefined;
+	/** Lets the sync of a file report success without doing anything, to prove that checks notice it. */
+	isSyncSkipped?: (file: string) => boolean;
 };
 
 const fileError = (code: string, message: string) =>
 	Object.assign(new Error(`${code}: ${message}`), {code});
 
-const createNode = (): Node => ({
-	content: Buffer.alloc(0),
-	sizeBytes: 0,
-	durable: Buffer.alloc(0),
-	changes: [],
-});
-
 /**
  * A file system in memory that behaves like a disk in a crash: unsynced writes and names are lost.
  *
@@ -56,34 +28,49 @@
  * ```
  */
 export class MemoryFileSystem extends FileSystem {
-	/** Total bytes that the disk can hold; writes beyond it fail with `ENOSPC`. */
-	capacityBytes = Number.POSITIVE_INFINITY;
-	/** Makes syncs report success without making anything durable, to prove that checks notice it. */
-	isSyncSkipped = false;
-	readonly #delay: (operation: FileOperation) => Promise<void> | undefined;
-	#names = new Map<string, Node>();
-	readonly #durableNames = new Map<string, Node>();
-	#failures: Array<{operation: FileOperation; code: string}> = [];
-	#generation = 0;
-
-	constructor(options: MemoryFileSystemOptions = {}) {
+	readonly #options: MemoryFileSystemOptions;
+	readonly #disk: MemoryDisk;
+	/** Set when this is the view of one process. */
+	readonly #process: number | undefined;
+
+	constructor(
+		options: MemoryFileSystemOptions = {},
+		disk = new MemoryDisk(),
+		process?: number,
+	) {
 		super();
-		this.#delay = options.delay ?? (() => undefined);
+		this.#options = options;
+		this.#disk = disk;
+		this.#process = process;
+	}
+
+	/** Total bytes that the disk can hold; writes beyond it fail with `ENOSPC`. */
+	get capacityBytes(): number {
+		return this.#disk.capacityBytes;
+	}
+
+	set capacityBytes(value: number) {
+		this.#disk.capacityBytes = value;
 	}
 
 	/** Sum of the sizes of all files. */
 	get usedBytes(): number {
-		let sum = 0;
-		for (const node of this.#names.values()) {
-			sum += node.sizeBytes;
-		}
+		return this.#disk.usedBytes;
+	}
 
-		return sum;
+	/** A view whose operations all fail after the next crash or end of the process. */
+	forProcess(): MemoryFileSystem {
+		return new MemoryFileSystem(this.#options, this.#disk, this.#disk.process);
 	}
 
 	/** Lets the next operation of this kind fail with the error code, for example `EIO`. */
 	failNext(operation: FileOperation, code = 'EIO'): void {
-		this.#failures.push({operation, code});
+		this.#disk.failures.push({operation, code});
+	}
+
+	/** Withdraws the failures that have not happened yet. */
+	clearFailures(): void {
+		this.#disk.failures = [];
 	}
 
 	/**
@@ -93,52 +80,32 @@
 	 * reach the disk; by default none. A partly kept write is torn.
 	 */
 	crash(chooseKept: (count: number) => number = () => 0): void {
-		this.stopProcess();
-		this.#names = new Map(this.#durableNames);
-		for (const node of this.#names.values()) {
-			const kept = chooseKept(node.changes.length);
-			let {durable} = node;
-			for (const change of node.changes.slice(0, kept)) {
-				durable = applyChange(durable, change);
-			}
-
-			const torn = node.changes[kept];
-			if (torn && 'bytes' in torn) {
-				const bytes = torn.bytes.subarray(0, chooseKept(torn.bytes.length));
-				durable =
-					bytes.length > 0 ? applyChange(durable, {...torn, bytes}) : durable;
-			}
-
-			node.durable = durable;
-			node.content = durable;
-			node.sizeBytes = durable.length;
-			node.changes = [];
-		}
+		this.#disk.crash(chooseKept);
 	}
 
 	/** Ends the process that uses the disk: open handles fail, but the written data stays. */
-	stopProcess(): void {
-		this.#generation += 1;
-		this.#failures = [];
+	endProcess(): void {
+		this.#disk.endProcess();
 	}
 
 	/** Empties the disk, as when it is replaced by a new one. */
 	wipe(): void {
-		this.stopProcess();
-		this.#names.clear();
-		this.#durableNames.clear();
+		this.#disk.endProcess();
+		this.#disk.names.clear();
+		this.#disk.durableNames.clear();
 	}
 
 	/** Changes one byte of a file on the disk, as bit rot does. */
 	flipByte(file: string, position: number): void {
-		const node = this.#names.get(file);
-		if (!node || position >= node.sizeBytes) {
-			throw fileError('ENOENT', `${file} has no byte ${position}`);
-		}
+		this.#disk.names.get(file)?.flipByte(position);
+	}
 
-		for (const content of new Set([node.content, node.durable])) {
-			content[position] = 255 - content[position]!;
-		}
+	/** Names and sizes of all files. */
+	describeFiles(): Array<{file: string; sizeBytes: number}> {
+		return [...this.#disk.names].map(([file, {sizeBytes}]) => ({
+			file,
+			sizeBytes,
+		}));
 	}
 
 	override async makeFolder(_folder: string) {
@@ -146,162 +113,153 @@
 	}
 
 	override async list(folder: string) {
-		await this.#start('list');
-		return [...this.#names.keys()]
+		await this.#start('list', folder);
+		return [...this.#disk.names.keys()]
 			.filter((name) => path.dirname(name) === folder)
 			.map((name) => path.basename(name))
 			.toSorted();
 	}
 
 	override async open(file: string): Promise<OpenFile> {
-		await this.#start('open');
-		let node = this.#names.get(file);
-		if (!node) {
-			node = createNode();
-			this.#names.set(file, node);
+		await this.#start('open', file);
+		let content = this.#disk.names.get(file);
+		if (!content) {
+			content = new MemoryFile();
+			this.#disk.names.set(file, content);
 		}
 
-		return this.#createHandle(node);
+		return new MemoryOpenFile(content, {
+			disk: this.#disk,
+			start: this.#bindStart(file),
+			isSyncSkipped: () => this.#options.isSyncSkipped?.(file) ?? false,
+		});
 	}
 
 	override async readFile(file: string) {
-		await this.#start('read');
-		const node = this.#names.get(file);
-		return node && Buffer.from(node.content.subarray(0, node.sizeBytes));
+		await this.#start('read', file);
+		const content = this.#disk.names.get(file);
+		return content && Buffer.from(content.bytes);
 	}
 
 	override async rename(from: string, to: string) {
-		await this.#start('rename');
-		const node = this.#names.get(from);
-		if (!node) {
+		await this.#start('rename', from);
+		const content = this.#disk.names.get(from);
+		if (!content) {
 			throw fileError('ENOENT', `${from} does not exist`);
 		}
 
-		this.#names.delete(from);
-		this.#names.set(to, node);
+		this.#disk.names.delete(from);
+		this.#disk.names.set(to, content);
 	}
 
 	override async remove(file: string) {
-		await this.#start('remove');
-		this.#names.delete(file);
+		await this.#start('remove', file);
+		this.#disk.names.delete(file);
 	}
 
 	override async syncFolder(folder: string) {
-		await this.#start('sync');
-		if (this.isSyncSkipped) {
-			return;
-		}
-
-		for (const name of this.#durableNames.keys()) {
-			if (path.dirname(name) === folder && !this.#names.has(name)) {
-				this.#durableNames.delete(name);
+		await this.#start('sync', folder);
+		const {names, durableNames} = this.#disk;
+		for (const name of durableNames.keys()) {
+			if (path.dirname(name) === folder && !names.has(name)) {
+				durableNames.delete(name);
 			}
 		}
 
-		for (const [name, node] of this.#names) {
+		for (const [name, content] of names) {
 			if (path.dirname(name) === folder) {
-				this.#durableNames.set(name, node);
+				durableNames.set(name, content);
 			}
 		}
 	}
 
-	async #start(operation: FileOperation, generation = this.#generation) {
-		await this.#delay(operation);
-		if (generation !== this.#generation) {
-			throw fileError('EBADF', 'the process that opened the file has ended');
+	#bindStart(file: string) {
+		const process = this.#process ?? this.#disk.process;
+		return async (operation: FileOperation) =>
+			this.#start(operation, file, process);
+	}
+
+	async #start(
+		operation: FileOperation,
+		file: string,
+		process = this.#process ?? this.#disk.process,
+	) {
+		await this.#options.delay?.(operation, file);
+		if (process !== this.#disk.process) {
+			throw fileError('EBADF', 'the process that used the disk has ended');
 		}
 
-		const position = this.#failures.findIndex(
+		const {failures} = this.#disk;
+		const position = failures.findIndex(
 			(failure) => failure.operation === operation,
 		);
 		if (position !== -1) {
-			const [failure] = this.#failures.splice(position, 1);
+			const [failure] = failures.splice(position, 1);
 			throw fileError(failure!.code, `injected failure of ${operation}`);
 		}
 	}
+}
 
-	#write(node: Node, bytes: Uint8Array, position: number) {
-		const end = position + bytes.length;
-		const growth = Math.max(0, end - node.sizeBytes);
-		const space = this.capacityBytes - this.usedBytes;
-		if (growth > space) {
-			const fitting = bytes.length - (growth - Math.max(0, space));
-			if (fitting > 0) {
-				this.#write(node, bytes.subarray(0, fitting), position);
-			}
+type MemoryHandle = {
+	disk: MemoryDisk;
+	/** Delays the operation and fails when the process has ended. */
+	start: (operation: FileOperation) => Promise<void>;
+	isSyncSkipped: () => boolean;
+};
 
-			throw fileError('ENOSPC', 'no space left on the disk');
-		}
+class MemoryOpenFile extends OpenFile {
+	readonly #content: MemoryFile;
+	readonly #handle: MemoryHandle;
 
-		if (end > node.content.length || node.content === node.durable) {
-			const grown = Buffer.alloc(Math.max(end, node.content.length * 2, 1024));
-			node.content.copy(grown, 0, 0, node.sizeBytes);
-			node.content = grown;
+	constructor(content: MemoryFile, handle: MemoryHandle) {
+		super();
+		this.#content = content;
+		this.#handle = handle;
+	}
+
+	override async write(bytes: Uint8Array, position: number) {
+		await this.#handle.start('write');
+		const {disk} = this.#handle;
+		const growth = position + bytes.length - this.#content.sizeBytes;
+		const excess = growth - (disk.capacityBytes - disk.usedBytes);
+		const isFull = growth > 0 && excess > 0;
+		const fitting = isFull ? Math.max(0, bytes.length - excess) : bytes.length;
+		if (fitting > 0) {
+			this.#content.change({
+				position,
+				bytes: Uint8Array.from(bytes.subarray(0, fitting)),
+			});
 		}
 
-		const copy = Uint8Array.from(bytes);
-		node.content.set(copy, position);
-		node.sizeBytes = Math.max(node.sizeBytes, end);
-		node.changes.push({position, bytes: copy});
+		if (isFull) {
+			throw fileError('ENOSPC', 'no space left on the disk');
+		}
 	}
 
-	#truncate(node: Node, sizeBytes: number) {
-		const content = Buffer.alloc(sizeBytes);
-		node.content.copy(content, 0, 0, Math.min(sizeBytes, node.sizeBytes));
-		node.content = content;
-		node.sizeBytes = sizeBytes;
-		node.changes.push({sizeBytes});
+	override async read(position: number, lengthBytes: number) {
+		await this.#handle.start('read');
+		return Buffer.from(
+			this.#content.bytes.subarray(position, position + lengthBytes),
+		);
 	}
 
-	#sync(node: Node) {
-		if (!this.isSyncSkipped) {
-			node.durable = Buffer.from(node.content.subarray(0, node.sizeBytes));
-			node.changes = [];
+	override async sync() {
+		await this.#handle.start('sync');
+		if (!this.#handle.isSyncSkipped()) {
+			this.#content.sync();
 		}
 	}
 
-	#createHandle(node: Node): OpenFile {
-		const generation = this.#generation;
-		const start = async (operation: FileOperation) =>
-			this.#start(operation, generation);
-		return new (class extends OpenFile {
-			readonly #disk: MemoryFileSystem;
-
-			constructor(disk: MemoryFileSystem) {
-				super();
-				this.#disk = disk;
-			}
-
-			override async write(bytes: Uint8Array, position: number) {
-				await start('write');
-				this.#disk.#write(node, bytes, position);
-			}
-
-			override async read(position: number, lengthBytes: number) {
-				await start('read');
-				const end = Math.min(position + lengthBytes, node.sizeBytes);
-				return Buffer.from(
-					node.content.subarray(position, Math.max(position, end)),
-				);
-			}
-
-			override async sync() {
-				await start('sync');
-				this.#disk.#sync(node);
-			}
-
-			override async truncate(sizeBytes: number) {
-				await start('write');
-				this.#disk.#truncate(node, sizeBytes);
-			}
+	override async truncate(sizeBytes: number) {
+		await this.#handle.start('write');
+		this.#content.change({sizeBytes});
+	}
 
-			override async size() {
-				return node.sizeBytes;
-			}
+	override async size() {
+		return this.#content.sizeBytes;
+	}
 
-			override async close() {
-				// Nothing is held.
-			}
-		})(this);
+	override async close() {
+		// Nothing is held.
 	}
 }
--- a/packages/storage/src/snapshot-store.ts
+++ b/packages/storage/src/snapshot-store.ts
@@ -35,6 +35,8 @@
 			}
 		}
 
+		// A process that was killed may have left a name that a crash would still lose.
+		await fileSystem.syncFolder(folder);
 		return new SnapshotStore<Meta>(fileSystem, folder);
 	}
 
--- a/packages/storage/src/write-ahead-log.ts
+++ b/packages/storage/src/write-ahead-log.ts
@@ -238,6 +238,14 @@
 			throw new RangeError('a record is larger than the largest frame');
 		}
 
+		if (records.length === 0) {
+			for (const pending of batch) {
+				pending.resolve(this.currentSegment);
+			}
+
+			return;
+		}
+
 		const bytes = encodeFrames(records);
 		for (;;) {
 			try {
