--- /dev/null
+++ b/packages/daemon/src/daemon-context.ts
@@ -0,0 +1,84 @@
+import {randomUUID} from 'node:crypto';
+import {MarjoramcoveError, RefusedError} from '@marjoramcove/errors';
+import type {Logger} from '@marjoramcove/logger';
+import {
+	type Counter,
+	type DurationHistogram,
+	MetricsRegistry,
+} from '@marjoramcove/metrics';
+import type {Settings} from '@marjoramcove/settings';
+import {asId, type IncarnationId} from '@marjoramcove/types';
+
+/** Life of the process as other daemons see it. */
+export type DaemonPhase = 'starting' | 'ready' | 'draining';
+
+/** What every service of one daemon shares. */
+export type DaemonContext = {
+	settings: Settings;
+	logger: Logger;
+	metrics: MetricsRegistry;
+	/** Changes at each start of the process. */
+	incarnation: IncarnationId;
+	phase: DaemonPhase;
+	refusals: Counter;
+	retries: Counter;
+	steps: DurationHistogram;
+	/** Stops the process at once after a fault that makes its state doubtful. */
+	fail: (error: unknown) => void;
+};
+
+/**
+ * Creates the shared context of a daemon.
+ *
+ * @example
+ * ```ts
+ * const context = createDaemonContext(settings, logger, (error) => process.exit(1));
+ * ```
+ */
+export const createDaemonContext = (
+	settings: Settings,
+	logger: Logger,
+	fail: (error: unknown) => void,
+): DaemonContext => {
+	const metrics = new MetricsRegistry();
+	return {
+		settings,
+		logger,
+		metrics,
+		incarnation: asId<IncarnationId>(randomUUID()),
+		phase: 'starting',
+		refusals: metrics.counter(
+			'marjoramcove_refusals_total',
+			'Refused requests by reason.',
+		),
+		retries: metrics.counter(
+			'marjoramcove_retries_total',
+			'Retries by step and reason.',
+		),
+		steps: metrics.histogram(
+			'marjoramcove_step_duration_ms',
+			'Duration of the steps of a call in milliseconds.',
+		),
+		fail,
+	};
+};
+
+/** Reason of any error, for counters and logs. */
+export const reasonOf = (error: unknown): string =>
+	error instanceof MarjoramcoveError ? error.reason : 'internal-error';
+
+/** Message of any error, for logs. */
+export const messageOf = (error: unknown): string =>
+	error instanceof Error ? error.message : String(error);
+
+/** Whether the error says that nothing ran and nothing will. */
+export const isNotRun = (error: unknown): boolean =>
+	error instanceof MarjoramcoveError && error.verdict === 'not-run';
+
+/** Creates a refusal with verdict `not-run`. */
+export const refusal = (
+	reason: string,
+	message: string,
+	hint: string,
+	data?: Record<string, unknown>,
+): RefusedError => new RefusedError(message, {reason, hint, data});
--- /dev/null
+++ b/packages/daemon/src/dispatcher/run-model-call.ts
@@ -0,0 +1,268 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createParser} from 'eventsource-parser';
+import {type Dispatcher, request} from 'undici';
+import {attemptKey, type Usage} from '../call-contracts.ts';
+import type {DaemonContext} from '../daemon-context.ts';
+import type {AttemptResult, CallRun} from './call-run.ts';
+import {codeOf, isUnsent} from './upstream-errors.ts';
+
+/** How an attempt at an engine ended. */
+export type ModelEnd =
+	{type: 'done'; result: AttemptResult} | {type: 'lost'; reason: string};
+
+type Chunk = {
+	choices?: Array<{
+		delta?: {content?: string | null; tool_calls?: unknown[]};
+		finish_reason?: string | null;
+	}>;
+	usage?: Usage;
+	error?: {message?: string; reason?: string};
+};
+
+type Progress = {
+	finishReason?: string;
+	toolCalls: unknown[];
+	usage?: Usage;
+	isDone: boolean;
+	broken?: string;
+};
+
+type EngineCall = {
+	context: DaemonContext;
+	dispatcher: Dispatcher;
+	address: string;
+	run: CallRun;
+};
+
+const resumeDelayMs = 100;
+
+const takeChunk = (run: CallRun, progress: Progress, data: string): void => {
+	if (data === '[DONE]') {
+		progress.isDone = progress.finishReason !== undefined;
+		return;
+	}
+
+	const chunk = JSON.parse(data) as Chunk;
+	if (chunk.error) {
+		progress.broken = chunk.error.reason ?? 'engine-error';
+		return;
+	}
+
+	const choice = chunk.choices?.[0];
+	if (choice?.delta?.content) {
+		run.append(choice.delta.content);
+	}
+
+	progress.toolCalls.push(...(choice?.delta?.tool_calls ?? []));
+	progress.finishReason = choice?.finish_reason ?? progress.finishReason;
+	progress.usage = chunk.usage ?? progress.usage;
+};
+
+const readStream = async (
+	run: CallRun,
+	progress: Progress,
+	body: Dispatcher.ResponseData['body'],
+): Promise<void> => {
+	const parser = createParser({
+		onEvent(event) {
+			if (progress.broken === undefined) {
+				try {
+					takeChunk(run, progress, event.data);
+				} catch {
+					progress.broken = 'malformed-stream';
+				}
+			}
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const bytes of body) {
+		parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+		if (progress.broken !== undefined) {
+			body.destroy();
+			return;
+		}
+	}
+};
+
+const openStream = async (
+	{context, dispatcher, address, run}: EngineCall,
+	isResumed: boolean,
+): Promise<Dispatcher.ResponseData> => {
+	const {grant, payload} = run;
+	const streamId = attemptKey(grant);
+	const {streamSilenceMs} = context.settings.timing;
+	const options = {
+		dispatcher,
+		signal: run.abort.signal,
+		headersTimeout: streamSilenceMs,
+		bodyTimeout: streamSilenceMs,
+	};
+	if (isResumed) {
+		const offset = run.text.length - payload.prefix.length;
+		return request(
+			`${address}/v1/streams/${encodeURIComponent(streamId)}?offset=${offset}`,
+			{...options, method: 'GET'},
+		);
+	}
+
+	return request(`${address}/v1/chat/completions`, {
+		...options,
+		method: 'POST',
+		headers: {'content-type': 'application/json', 'x-stream-id': streamId},
+		body: JSON.stringify({
+			...(payload.parameters as Record<string, unknown>),
+			model: 'model' in grant.target ? grant.target.model : '',
+			messages: payload.messages.map((text) => toChatMessage(text)),
+			stream: true,
+			stream_options: {include_usage: true},
+			max_tokens: grant.maxTokens,
+			program_id: grant.programId,
+			stream_id: streamId,
+			...(payload.prefix !== '' && {prefix: payload.prefix}),
+		}),
+	});
+};
+
+/** Marks a history text that holds a whole chat message as JSON instead of its plain content. */
+export const messageMarker = '\u0000json:';
+
+/** Chat message of a history text. */
+export const toChatMessage = ({
+	role,
+	content,
+}: {
+	role: string;
+	content: string;
+}): Record<string, unknown> =>
+	content.startsWith(messageMarker)
+		? {
+				role,
+				...(JSON.parse(content.slice(messageMarker.length)) as object),
+			}
+		: {role, content};
+
+const toResult = (run: CallRun, progress: Progress): AttemptResult => ({
+	outcome: {
+		status: 'answered',
+		verdict: 'ran',
+		contentType: 'text/event-stream',
+	},
+	content: run.text,
+	finishReason: progress.finishReason ?? 'stop',
+	...(progress.toolCalls.length > 0 && {toolCalls: progress.toolCalls}),
+	...(progress.usage && {usage: progress.usage}),
+});
+
+const refused = (statusCode: number, text: string): ModelEnd => ({
+	type: 'done',
+	result: {
+		outcome: {
+			status: 'failed',
+			verdict: 'not-run',
+			reason: 'engine-refused',
+			message: `The engine answered ${statusCode}: ${text.slice(0, 300)}`,
+		},
+		content: '',
+		finishReason: 'error',
+	},
+});
+
+/** Statuses of an engine that cannot serve the call now, while another one may. */
+const movableStatuses = new Set([404, 408, 429, 499, 500, 502, 503, 504]);
+
+const readAnswer = async (
+	call: EngineCall,
+	progress: Progress,
+	isResumed: boolean,
+): Promise<ModelEnd | undefined> => {
+	const {statusCode, body} = await openStream(call, isResumed);
+	if (statusCode === 200) {
+		await readStream(call.run, progress, body);
+		return progress.isDone
+			? {type: 'done', result: toResult(call.run, progress)}
+			: undefined;
+	}
+
+	const text = await body.text();
+	// The stream exists when an earlier request arrived although its answer was lost.
+	if (statusCode === 409 && !isResumed) {
+		return undefined;
+	}
+
+	if (isResumed || movableStatuses.has(statusCode)) {
+		return {
+			type: 'lost',
+			reason: isResumed ? 'stream-unknown' : `engine-status-${statusCode}`,
+		};
+	}
+
+	return refused(statusCode, text);
+};
+
+/**
+ * Sends a model call to an engine once and reads its stream. A connection that is silent or broken is
+ * replaced, and the stream continues from the offset that was reached.
+ */
+export const runModelCall = async (call: EngineCall): Promise<ModelEnd> => {
+	const {run, context} = call;
+	const progress: Progress = {toolCalls: [], isDone: false};
+	for (let attempt = 0; performance.now() < run.deadlineMs; attempt++) {
+		let reason: string;
+		try {
+			const end = await readAnswer(call, progress, attempt > 0);
+			if (end) {
+				return end;
+			}
+
+			reason = progress.broken ?? 'stream-ended-early';
+			if (progress.broken === 'cancelled') {
+				return {type: 'lost', reason: 'engine-cancelled'};
+			}
+
+			progress.broken = undefined;
+		} catch (error) {
+			if (run.abort.signal.aborted || isUnsent(error)) {
+				return {
+					type: 'lost',
+					reason: run.abort.signal.aborted ? 'cancelled' : 'engine-unreachable',
+				};
+			}
+
+			reason = codeOf(error).includes('TIMEOUT')
+				? 'stream-silent'
+				: 'connection-broken';
+		}
+
+		context.retries.increment({step: 'engine-stream', reason});
+		context.logger.info({
+			event: 'engine-stream-resumed',
+			programId: run.grant.programId,
+			requestId: run.grant.requestId,
+			upstream: run.grant.upstreamId,
+			reason,
+			offset: run.text.length,
+		});
+		await sleep(resumeDelayMs);
+	}
+
+	return {type: 'lost', reason: 'call-timeout'};
+};
+
+/** Stops a stream at its engine, so that it no longer uses a slot and memory. */
+export const cancelStream = async ({
+	dispatcher,
+	address,
+	run,
+}: Omit<EngineCall, 'context'>): Promise<void> => {
+	const {body} = await request(
+		`${address}/v1/streams/${encodeURIComponent(attemptKey(run.grant))}`,
+		{
+			method: 'DELETE',
+			dispatcher,
+			headersTimeout: 2000,
+			bodyTimeout: 2000,
+			signal: AbortSignal.timeout(2000),
+		},
+	);
+	await body.dump();
+};
--- /dev/null
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -0,0 +1,285 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {MarjoramcoveError} from '@marjoramcove/errors';
+import {type CallOutcome, programOfShard} from '@marjoramcove/programs';
+import type {
+	AcceptInput,
+	CallPayload,
+	CallState,
+	DispatchEvent,
+	Grant,
+	Usage,
+} from '../call-contracts.ts';
+import {type DaemonContext, reasonOf} from '../daemon-context.ts';
+import type {GroupClientService} from '../services/group-client-service.ts';
+import type {PeersService} from '../services/peers-service.ts';
+import {shardGroup} from '../services/replication-service.ts';
+
+/** Receives the answer while it arrives. */
+export type AnswerReader = {
+	/** The call was granted; an error can no longer be a refusal. */
+	onGranted?: () => void;
+	onText: (text: string, position: {attempt: number; offset: number}) => void;
+	/** The text delivered so far is not part of the answer. */
+	onRestart: () => void;
+};
+
+/** End of a followed call. */
+export type FollowedCall = {
+	outcome: CallOutcome;
+	attempt: number;
+	turn: number;
+	content: string;
+	finishReason: string;
+	toolCalls?: unknown[];
+	usage?: Usage;
+};
+
+/** Position from which a caller continues an answer. */
+export type ResumePosition = {attempt: number; offset: number};
+
+type Attempt = {grant: Grant; payload: CallPayload; receivedMs: number};
+
+type AttemptEnd = Extract<DispatchEvent, {type: 'final' | 'lost'}>;
+
+const followGraceMs = 30_000;
+
+/** Text that the caller has, over all attempts of one call. */
+class Delivery {
+	text = '';
+	readonly #reader: AnswerReader;
+	#resume: ResumePosition | undefined;
+	#attempt = 0;
+	#attemptText = '';
+
+	constructor(reader: AnswerReader, resume: ResumePosition | undefined) {
+		this.#reader = reader;
+		this.#resume = resume;
+	}
+
+	/** Begins an attempt and returns the offset from which its text is needed. */
+	begin(attempt: number): number {
+		if (this.#resume && this.#resume.attempt !== attempt) {
+			this.#resume = undefined;
+			this.#reader.onRestart();
+		}
+
+		if (this.#attempt !== attempt) {
+			this.#attempt = attempt;
+			this.#attemptText = '';
+		}
+
+		return this.#attemptText.length;
+	}
+
+	/** Takes text at an offset of the current attempt. */
+	take(offset: number, text: string): void {
+		this.#attemptText = this.#attemptText.slice(0, offset) + text;
+		this.#deliver(this.#attemptText);
+	}
+
+	/** Takes the whole recorded answer; nothing but it may have been delivered. */
+	finish(attempt: number, content: string): void {
+		this.begin(attempt);
+		if (this.text.length > content.length) {
+			this.#reader.onRestart();
+			this.text = '';
+		}
+
+		this.#deliver(content);
+	}
+
+	#deliver(full: string): void {
+		if (this.#resume) {
+			if (full.length < this.#resume.offset) {
+				return;
+			}
+
+			this.text = full.slice(0, this.#resume.offset);
+			this.#resume = undefined;
+		}
+
+		if (this.text.startsWith(full)) {
+			return;
+		}
+
+		if (!full.startsWith(this.text)) {
+			this.#reader.onRestart();
+			this.text = '';
+		}
+
+		const fresh = full.slice(this.text.length);
+		this.text = full;
+		this.#reader.onText(fresh, {attempt: this.#attempt, offset: full.length});
+	}
+}
+
+/** Brings a call from the entry daemon to its end: accept, dispatch, and recovery of lost attempts. */
+export class CallFollower {
+	readonly #context: DaemonContext;
+	readonly #groups: GroupClientService;
+	readonly #peers: PeersService;
+
+	constructor(
+		context: DaemonContext,
+		groups: GroupClientService,
+		peers: PeersService,
+	) {
+		this.#context = context;
+		this.#groups = groups;
+		this.#peers = peers;
+	}
+
+	/**
+	 * Follows a call to its end. When the signal aborts, the call goes on without a reader.
+	 *
+	 * @throws MarjoramcoveError when the call was refused, or when its outcome is unknown.
+	 */
+	async follow(
+		input: AcceptInput,
+		reader: AnswerReader,
+		{signal, resume}: {signal: AbortSignal; resume?: ResumePosition},
+	): Promise<FollowedCall> {
+		const delivery = new Delivery(reader, resume);
+		const endMs = performance.now() + 2 * input.timeoutMs + followGraceMs;
+		let state = await this.#callOwner(input, 'programs.accept', input);
+		reader.onGranted?.();
+		let attempt = 0;
+		for (;;) {
+			if (state.status === 'settled') {
+				return finishSettled(state, delivery);
+			}
+
+			if (signal.aborted || performance.now() > endMs) {
+				throw outcomeUnknown(input);
+			}
+
+			if (state.status === 'granted') {
+				attempt = state.grant.attempt;
+				const end = await this.#readAttempt(
+					{...state, receivedMs: performance.now()},
+					delivery,
+					signal,
+				);
+				if (end.type === 'final') {
+					if (end.outcome.status === 'answered' && input.kind === 'model') {
+						delivery.finish(attempt, end.content);
+					}
+
+					return {...end, attempt, turn: state.grant.turn};
+				}
+
+				if (signal.aborted) {
+					throw outcomeUnknown(input);
+				}
+
+				this.#context.retries.increment({step: 'follow', reason: end.reason});
+				await sleep(20);
+			} else {
+				await sleep(state.retryAfterMs);
+			}
+
+			state = await this.#callOwner(input, 'programs.reportLost', {
+				accept: input,
+				attempt,
+				partial: delivery.text,
+			});
+		}
+	}
+
+	async #callOwner(
+		input: AcceptInput,
+		path: string,
+		body: unknown,
+	): Promise<CallState> {
+		return this.#groups.call<CallState>(
+			shardGroup(programOfShard(input.programId)),
+			path,
+			body,
+			{timeoutMs: input.timeoutMs + 5000},
+		);
+	}
+
+	/** Reads one attempt until it ends or is lost. */
+	async #readAttempt(
+		{grant, payload, receivedMs}: Attempt,
+		delivery: Delivery,
+		signal: AbortSignal,
+	): Promise<AttemptEnd> {
+		const fromOffset = delivery.begin(grant.attempt);
+		const timeoutMs = grant.timeoutMs - (performance.now() - receivedMs);
+		return new Promise((resolve) => {
+			let stop: (() => void) | undefined;
+			const finish = (end: AttemptEnd) => {
+				signal.removeEventListener('abort', abandon);
+				stop?.();
+				resolve(end);
+			};
+
+			const lose = (error: unknown) => {
+				finish({type: 'lost', reason: reasonOf(error)});
+			};
+
+			const abandon = () => {
+				finish({type: 'lost', reason: 'caller-gone'});
+			};
+
+			signal.addEventListener('abort', abandon);
+			const subscribe = async () => {
+				try {
+					stop = await this.#peers.subscribe(
+						grant.dispatcherId,
+						'dispatch.run',
+						{grant: {...grant, timeoutMs}, payload, fromOffset},
+						{
+							onData(data) {
+								const event = data as DispatchEvent;
+								if (event.type === 'chunk') {
+									delivery.take(event.offset, event.text);
+								} else {
+									finish(event);
+								}
+							},
+							onError: lose,
+							onComplete() {
+								finish({type: 'lost', reason: 'dispatch-ended'});
+							},
+						},
+					);
+				} catch (error) {
+					lose(error);
+				}
+			};
+
+			void subscribe();
+		});
+	}
+}
+
+const finishSettled = (
+	{record, content}: Extract<CallState, {status: 'settled'}>,
+	delivery: Delivery,
+): FollowedCall => {
+	const {outcome} = record;
+	if (outcome.status === 'answered' && record.kind === 'model') {
+		delivery.finish(record.attempt, content);
+	}
+
+	return {
+		outcome:
+			outcome.status === 'failed' ? {...outcome, message: content} : outcome,
+		attempt: record.attempt,
+		turn: record.turn,
+		content,
+		finishReason: 'stop',
+	};
+};
+
+const outcomeUnknown = (input: AcceptInput) =>
+	new MarjoramcoveError(
+		`The outcome of request ${input.requestId} is not known yet.`,
+		{
+			reason: 'call-timeout',
+			verdict: 'may-have-run',
+			hint: `Look it up: GET /v1/programs/${input.programId}/requests/${input.requestId}.`,
+		},
+	);
--- /dev/null
+++ b/packages/daemon/src/entry/http-answers.ts
@@ -0,0 +1,170 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	type ErrorBody,
+	toErrorBody,
+	ValidationError,
+} from '@marjoramcove/errors';
+import {z, type ZodType} from 'zod';
+import {refusal} from '../daemon-context.ts';
+
+/** A request as the routes see it. */
+export type HttpRequest = IncomingMessage & {
+	params: Record<string, string>;
+	query: Record<string, string | string[]>;
+	path: string;
+	originalUrl: string;
+	/** Whole body, read before the route runs. */
+	rawBody: Buffer;
+};
+
+export type Handler = (
+	request: HttpRequest,
+	response: ServerResponse,
+) => Promise<void>;
+
+const statusByReason: Record<string, number> = {
+	'revision-conflict': 409,
+	'request-id-reused': 409,
+	'turn-out-of-order': 409,
+	'call-in-progress': 409,
+	'program-exists': 409,
+	'program-ended': 409,
+	'token-budget': 409,
+	'turn-limit': 409,
+	'wall-time-limit': 409,
+	'no-selector-matches': 403,
+	'program-unknown': 404,
+	'request-unknown': 404,
+	'path-unknown': 404,
+	'request-too-large': 413,
+	'history-too-large': 413,
+	'peer-message-too-large': 413,
+	'command-too-large': 413,
+	'answer-too-large': 413,
+	'invalid-input': 422,
+	overloaded: 429,
+	'deadline-unreachable': 429,
+	'engine-queue-full': 429,
+	'program-queue-full': 429,
+	'proposal-queue-full': 429,
+	'tool-timeout': 504,
+	'call-timeout': 504,
+	'peer-timeout': 504,
+	'program-queue-timeout': 504,
+	'service-refused': 502,
+	'service-error': 502,
+	'internal-error': 500,
+};
+
+/** Status of an error body. */
+export const statusOf = ({reason, verdict}: ErrorBody): number =>
+	statusByReason[reason] ?? (verdict === 'not-run' ? 503 : 504);
+
+/** Sends a JSON body. */
+export const sendJson = (
+	response: ServerResponse,
+	status: number,
+	body: unknown,
+	headers: Record<string, string> = {},
+): void => {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	response.writeHead(status, {'content-type': 'application/json', ...headers});
+	response.end(JSON.stringify(body));
+};
+
+/** Body of an error for a caller: data is flattened only for the addresses of other daemons. */
+export const toCallerError = (
+	error: unknown,
+): ErrorBody & {addresses?: unknown} => {
+	const body = toErrorBody(error);
+	return body.data?.addresses === undefined
+		? body
+		: {...body, addresses: body.data.addresses};
+};
+
+/** Sends an error with its status, never with a stack trace. */
+export const sendError = (response: ServerResponse, error: unknown): void => {
+	const body = toCallerError(error);
+	const retryAfterMs = body.data?.retryAfterMs;
+	sendJson(
+		response,
+		statusOf(body),
+		{error: body},
+		typeof retryAfterMs === 'number'
+			? {'retry-after': String(Math.ceil(retryAfterMs / 1000))}
+			: {},
+	);
+};
+
+/**
+ * Reads a body up to a limit.
+ *
+ * @throws RefusedError `request-too-large`; nothing of the request was used.
+ */
+export const readBody = async (
+	request: IncomingMessage,
+	limitBytes: number,
+): Promise<Buffer> => {
+	const parts: Buffer[] = [];
+	let sizeBytes = 0;
+	for await (const part of request as AsyncIterable<Buffer>) {
+		sizeBytes += part.length;
+		if (sizeBytes <= limitBytes) {
+			parts.push(part);
+		} else if (sizeBytes > 4 * limitBytes) {
+			break;
+		}
+	}
+
+	if (sizeBytes > limitBytes) {
+		throw refusal(
+			'request-too-large',
+			`The request has more than ${limitBytes} bytes.`,
+			'Send a shorter request or ask the operator to raise limits.requestSizeBytes.',
+		);
+	}
+
+	return Buffer.concat(parts);
+};
+
+/**
+ * Parses a JSON body.
+ *
+ * @throws ValidationError with the paths of the wrong keys.
+ */
+export const parseBody = <Schema extends ZodType>(
+	{rawBody}: HttpRequest,
+	schema: Schema,
+): z.output<Schema> => {
+	let value: unknown;
+	try {
+		value = rawBody.length === 0 ? {} : JSON.parse(rawBody.toString('utf8'));
+	} catch (error) {
+		throw new ValidationError(
+			`The body is not JSON: ${(error as Error).message}.`,
+			'Send a JSON document.',
+		);
+	}
+
+	const parsed = schema.safeParse(value);
+	if (!parsed.success) {
+		throw new ValidationError(
+			z.prettifyError(parsed.error).replaceAll('\n', ' '),
+			'Correct the named fields.',
+		);
+	}
+
+	return parsed.data;
+};
+
+/** Value of a header that may appear once. */
+export const headerOf = (
+	request: IncomingMessage,
+	name: string,
+): string | undefined => {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+};
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {runCli} from './run-cli.ts';
+export {runDaemon} from './run-daemon.ts';
--- /dev/null
+++ b/packages/daemon/src/owner/program-registry.ts
@@ -0,0 +1,179 @@
+import {
+	describeProgram,
+	findRequest,
+	type ProgramBudget,
+	type ProgramDescription,
+} from '@marjoramcove/programs';
+import type {CallerId, ProgramId, RequestId} from '@marjoramcove/types';
+import {z} from 'zod';
+import {programIdSchema} from '../call-contracts.ts';
+import {refusal} from '../daemon-context.ts';
+import type {CallAccepter} from './call-accepter.ts';
+import {commandTimeMs, type OwnerCore, unknownProgram} from './owner-core.ts';
+
+const budgetSchema = z.object({
+	tokens: z.int().min(0),
+	turns: z.int().min(0),
+	wallTimeMs: z.int().min(0),
+});
+
+export const openSchema = z.object({
+	programId: programIdSchema,
+	callerId: z.string().transform((value) => value as CallerId),
+	labels: z.record(z.string(), z.string()),
+	budget: budgetSchema,
+	parentId: programIdSchema.optional(),
+	deadlineMs: z.int().optional(),
+	operationId: z.string().optional(),
+});
+export type OpenInput = z.output<typeof openSchema>;
+
+export const carveSchema = z.object({
+	programId: programIdSchema,
+	childId: programIdSchema,
+	budget: budgetSchema,
+});
+
+/** Opens, ends and describes programs at their owner. */
+export class ProgramRegistry {
+	readonly #core: OwnerCore;
+	readonly #accepter: CallAccepter;
+
+	constructor(core: OwnerCore, accepter: CallAccepter) {
+		this.#core = core;
+		this.#accepter = accepter;
+	}
+
+	async open(input: OpenInput) {
+		this.#core.configuration.assertLease();
+		await this.#core.lead(input.programId);
+		const budget = this.#core.configuration.view.budgetFor(
+			input.labels,
+			input.budget,
+		);
+		if (!budget) {
+			throw refusal(
+				'no-selector-matches',
+				'No selector matches the labels of the program.',
+				'Check the labels, or ask the operator for a selector.',
+			);
+		}
+
+		const result = await this.#core.commit(input.programId, {
+			type: 'open-program',
+			nowMs: commandTimeMs(),
+			...input,
+			budget,
+		});
+		if (result.outcome !== 'opened') {
+			throw new TypeError(`Unexpected result ${result.outcome}.`);
+		}
+
+		const {programId, deadlineMs, repeated} = result;
+		return {programId, budget: result.budget, deadlineMs, repeated};
+	}
+
+	/** Sets a part of the budget of a program aside for a sub-agent. */
+	async carve(
+		input: z.output<typeof carveSchema>,
+	): Promise<{budget: ProgramBudget; deadlineMs: number}> {
+		this.#core.configuration.assertLease();
+		await this.#core.openProgram(input.programId);
+		const result = await this.#core.commit(input.programId, {
+			type: 'carve-budget',
+			nowMs: commandTimeMs(),
+			...input,
+		});
+		if (result.outcome !== 'carved') {
+			throw refusal(
+				'program-ended',
+				'The sub-agent has ended already.',
+				'Open another sub-agent with a new operation id.',
+			);
+		}
+
+		return {budget: result.budget, deadlineMs: result.deadlineMs};
+	}
+
+	async end(programId: ProgramId, reason: string) {
+		await this.#core.lead(programId);
+		const result = await this.#core.commit(programId, {
+			type: 'end-program',
+			nowMs: commandTimeMs(),
+			programId,
+			reason,
+		});
+		return {
+			programId,
+			reason: result.outcome === 'ended' ? result.reason : reason,
+			repeated: result.outcome === 'ended' && result.repeated,
+		};
+	}
+
+	/** Description after a quorum round, so that it is not older than the question. */
+	async describe(programId: ProgramId): Promise<ProgramDescription> {
+		await this.#core.lead(programId);
+		await this.#core.replication.readBarrier(this.#core.groupOf(programId));
+		const program = describeProgram(this.#core.stateOf(programId), programId);
+		if (!program) {
+			throw unknownProgram(programId);
+		}
+
+		return program;
+	}
+
+	async history(programId: ProgramId) {
+		await this.describe(programId);
+		return {
+			programId,
+			entries: await this.#accepter.readMessages(programId),
+		};
+	}
+
+	async request(programId: ProgramId, requestId: RequestId) {
+		await this.describe(programId);
+		const found = findRequest(
+			this.#core.stateOf(programId),
+			programId,
+			requestId,
+		);
+		if (!found) {
+			throw refusal(
+				'request-unknown',
+				`Request ${requestId} of the program is not known.`,
+				'No call with this id is open or recorded.',
+			);
+		}
+
+		if (found.status === 'open') {
+			return {status: 'open' as const, call: found.call};
+		}
+
+		return this.#accepter.describeSettled(programId, found.record);
+	}
+
+	/** Open programs of the shards that this daemon leads. */
+	list(limit: number): ProgramDescription[] {
+		const {cluster} = this.#core.context.settings;
+		const programs: ProgramDescription[] = [];
+		for (const [shard, machine] of this.#core.replication.shards.entries()) {
+			const groupId = this.#core.groupOf(`p${shard}-list` as ProgramId);
+			if (
+				shard >= cluster.shardCount ||
+				!this.#core.replication.leadership(groupId).isLeader
+			) {
+				continue;
+			}
+
+			for (const programId of machine.state.programs.keys()) {
+				if (programs.length >= limit) {
+					return programs;
+				}
+
+				programs.push(describeProgram(machine.state, programId)!);
+			}
+		}
+
+		return programs;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/owner/route-call.ts
@@ -0,0 +1,173 @@
+import type {UpstreamResource} from '@marjoramcove/configuration';
+import type {ProgramDescription} from '@marjoramcove/programs';
+import {
+	chooseEngine,
+	type EngineView,
+	sampleViews,
+} from '@marjoramcove/scheduler';
+import type {
+	DaemonId,
+	IncarnationId,
+	UpstreamId,
+	ZoneName,
+} from '@marjoramcove/types';
+import type {Target} from '../call-contracts.ts';
+import {refusal} from '../daemon-context.ts';
+import type {OwnerCore} from './owner-core.ts';
+
+/** Where a call goes. */
+export type Route = {
+	upstream: UpstreamResource;
+	dispatcherId: DaemonId;
+	dispatcherIncarnation: IncarnationId;
+	cachedTokens: number;
+};
+
+export type RouteRequest = {
+	program: ProgramDescription;
+	target: Target;
+	zone: ZoneName;
+	promptTokens: number;
+	completionTokens: number;
+	/** Upstreams that just failed this call; used again only when nothing else is left. */
+	avoid?: ReadonlySet<UpstreamId>;
+};
+
+const describeTarget = (target: Target): string =>
+	'model' in target
+		? `model ${target.model}`
+		: `${target.service}/${target.operation}`;
+
+const previousEngine = (program: ProgramDescription): UpstreamId | undefined =>
+	program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0]?.upstreamId;
+
+/** Outstanding calls and tokens by upstream, as this owner granted them. */
+export type Outstanding = Map<UpstreamId, {calls: number; tokens: number}>;
+
+const viewOf = (
+	core: OwnerCore,
+	outstanding: Outstanding,
+	{program, promptTokens}: RouteRequest,
+	upstream: UpstreamResource,
+): EngineView => {
+	const {name, spec} = upstream;
+	const load = core.upstreams.load(name);
+	const own = outstanding.get(name) ?? {calls: 0, tokens: 0};
+	const calls = Math.max(own.calls, load.running + load.waiting);
+	const isPrevious = previousEngine(program) === name;
+	return {
+		upstreamId: name,
+		zone: spec.zone,
+		slots: spec.slots,
+		inFlight: Math.min(calls, spec.slots),
+		queued: Math.max(0, calls - spec.slots),
+		outstandingTokens: Math.max(own.tokens, calls * promptTokens),
+		cachedTokens: isPrevious
+			? Math.min(promptTokens, Math.floor(program.historyBytes / 4))
+			: 0,
+		cacheCapacityTokens: load.kvCapacityTokens || 1_000_000,
+		cacheUsedTokens: load.kvTokens,
+		relativeSpeed: 1,
+		leaving: core.upstreams.isLeaving(name),
+		healthy: core.upstreams.isHealthy(name),
+	};
+};
+
+/**
+ * Chooses upstream and dispatcher for a call.
+ *
+ * @throws RefusedError `no-selector-matches`, `no-upstream` or `no-dispatcher`.
+ */
+export const routeCall = (
+	core: OwnerCore,
+	outstanding: Outstanding,
+	request: RouteRequest,
+): Route => {
+	const {program, target} = request;
+	const {view} = core.configuration;
+	const allowed = view.upstreamsFor(program.labels, target, {
+		includeLeaving: true,
+	});
+	if (allowed.length === 0) {
+		throw refusal(
+			'no-selector-matches',
+			`No selector lets the program use an upstream for ${describeTarget(target)}.`,
+			'Ask the operator for a selector or an upstream for this target.',
+		);
+	}
+
+	const views = allowed.map((upstream) =>
+		viewOf(core, outstanding, request, upstream),
+	);
+	const preferred = views.filter(
+		({upstreamId}) => !request.avoid?.has(upstreamId),
+	);
+	const chosen =
+		choose(core, request, preferred) ?? choose(core, request, views);
+	if (!chosen) {
+		throw refusal(
+			'no-upstream',
+			`All upstreams for ${describeTarget(target)} are leaving or unreachable.`,
+			'Retry after a while.',
+		);
+	}
+
+	return withDispatcher(
+		core,
+		allowed.find(({name}) => name === chosen.upstreamId)!,
+		chosen.cachedTokens,
+	);
+};
+
+const choose = (
+	core: OwnerCore,
+	request: RouteRequest,
+	views: EngineView[],
+): EngineView | undefined => {
+	const {policy} = core.context.settings;
+	const previous = previousEngine(request.program);
+	const candidates = sampleViews(
+		{
+			count: views.length,
+			viewAt: (position) => views[position]!,
+			viewOf: (id) => views.find(({upstreamId}) => upstreamId === id),
+		},
+		previous === undefined ? [] : [previous],
+		policy,
+		Math.random,
+	);
+	const routing = {
+		programId: request.program.programId,
+		promptTokens: request.promptTokens,
+		expectedCompletionTokens: request.completionTokens,
+		zone: request.zone,
+		...(previous !== undefined && {previousUpstreamId: previous}),
+		deadlineMs: request.program.deadlineMs,
+	};
+	const pick = (from: EngineView[]) =>
+		chooseEngine(routing, from, performance.now(), policy, Math.random);
+	return pick(candidates) ?? pick(views);
+};
+
+const withDispatcher = (
+	core: OwnerCore,
+	upstream: UpstreamResource,
+	cachedTokens: number,
+): Route => {
+	const dispatcherId = core.upstreams.dispatcherOf(upstream.name);
+	const member = dispatcherId && core.configuration.members.get(dispatcherId);
+	if (!dispatcherId || !member) {
+		throw refusal(
+			'no-dispatcher',
+			'No daemon is ready to dispatch the call.',
+			'Retry after a while.',
+		);
+	}
+
+	return {
+		upstream,
+		dispatcherId,
+		dispatcherIncarnation: member.incarnation,
+		cachedTokens,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/run-daemon.ts
@@ -0,0 +1,210 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Kernel} from '@marjoramcove/kernel';
+import {createLogger} from '@marjoramcove/logger';
+import type {Settings} from '@marjoramcove/settings';
+import {
+	createDaemonContext,
+	type DaemonContext,
+	messageOf,
+	reasonOf,
+} from './daemon-context.ts';
+import {ConfigurationService} from './services/configuration-service.ts';
+import {DispatcherService} from './services/dispatcher-service.ts';
+import {EngineControllerService} from './services/engine-controller-service.ts';
+import {EntryService} from './services/entry-service.ts';
+import {GroupClientService} from './services/group-client-service.ts';
+import {OwnerService} from './services/owner-service.ts';
+import {PeerListenerService} from './services/peer-listener-service.ts';
+import {PeersService} from './services/peers-service.ts';
+import {RegistrarService} from './services/registrar-service.ts';
+import {ReplicationService} from './services/replication-service.ts';
+import {UpstreamsService} from './services/upstreams-service.ts';
+
+const drainPollMs = 50;
+
+/** A daemon that runs until it is drained. */
+class Daemon {
+	readonly #context: DaemonContext;
+	readonly #kernel = new Kernel();
+	readonly #replication: ReplicationService;
+	readonly #configuration: ConfigurationService;
+	readonly #dispatcher: DispatcherService;
+	readonly #entry: EntryService;
+	#drained: Promise<void> | undefined;
+	#readyTimer: NodeJS.Timeout | undefined;
+
+	constructor(context: DaemonContext, onDrainRequested: () => void) {
+		this.#context = context;
+		this.#replication = new ReplicationService(context);
+		this.#configuration = new ConfigurationService(context);
+		this.#dispatcher = new DispatcherService(context);
+		this.#entry = new EntryService(context, onDrainRequested);
+		for (const service of [
+			new PeersService(context),
+			new GroupClientService(context),
+			this.#replication,
+			new RegistrarService(context),
+			this.#configuration,
+			new UpstreamsService(context),
+			new OwnerService(context),
+			this.#dispatcher,
+			new EngineControllerService(context),
+			new PeerListenerService(context),
+			this.#entry,
+		]) {
+			this.#kernel.register(service);
+		}
+	}
+
+	async start(): Promise<void> {
+		await this.#kernel.start();
+		const {settings, incarnation, logger} = this.#context;
+		logger.info({
+			event: 'daemon-started',
+			zone: settings.zone,
+			httpPort: settings.listen.httpPort,
+			peerPort: settings.listen.peerPort,
+			incarnation,
+		});
+		this.#readyTimer = setInterval(() => {
+			if (this.#context.phase === 'starting' && this.#configuration.hasLease) {
+				this.#context.phase = 'ready';
+				this.#configuration.heartbeat();
+				logger.info({event: 'daemon-ready'});
+			}
+
+			if (this.#context.phase !== 'starting') {
+				clearInterval(this.#readyTimer);
+			}
+		}, drainPollMs);
+	}
+
+	/** Leaves in order: no new work, all accepted work finished. A second call changes nothing. */
+	async drain(): Promise<void> {
+		this.#drained ??= this.#drainOnce();
+		return this.#drained;
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#readyTimer);
+		await this.#kernel.stop();
+	}
+
+	async #drainOnce(): Promise<void> {
+		const {logger, settings} = this.#context;
+		const startedMs = performance.now();
+		this.#context.phase = 'draining';
+		logger.info({event: 'drain-started'});
+		this.#configuration.heartbeat();
+		let hasHandedOver = false;
+		const handOver = async () => {
+			await this.#replication.handOver();
+			hasHandedOver = true;
+		};
+
+		void handOver();
+		const {addressTtlMs, drainTimeoutMs} = settings.timing;
+		let nextReportMs = startedMs + drainTimeoutMs;
+		// Callers may use addresses that they cached just before for this time.
+		const serveUntilMs = startedMs + addressTtlMs;
+		for (;;) {
+			const nowMs = performance.now();
+			const left = {
+				requests: this.#entry.activeRequests,
+				runs: this.#dispatcher.activeRuns,
+				leads: !hasHandedOver,
+			};
+			if (
+				nowMs >= serveUntilMs &&
+				left.requests === 0 &&
+				left.runs === 0 &&
+				!left.leads
+			) {
+				break;
+			}
+
+			if (nowMs >= nextReportMs) {
+				nextReportMs += drainTimeoutMs;
+				logger.warn({event: 'drain-continues', ...left});
+			}
+
+			await sleep(drainPollMs);
+		}
+
+		await this.#kernel.drain();
+		logger.info({
+			event: 'drain-finished',
+			durationMs: Math.round(performance.now() - startedMs),
+		});
+	}
+}
+
+/**
+ * Runs a daemon until it has been drained by SIGTERM or an operator, then resolves with the exit code.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runDaemon(await readSettings('daemon.yaml'));
+ * ```
+ */
+export const runDaemon = async (settings: Settings): Promise<number> => {
+	const {logger, close} = await createLogger({
+		...settings.logs,
+		fields: {daemon: settings.daemonId},
+	});
+	return new Promise<number>((resolve) => {
+		const finish = async (code: number) => {
+			await close();
+			resolve(code);
+		};
+
+		const context = createDaemonContext(settings, logger, (error) => {
+			logger.error({
+				event: 'daemon-failed',
+				reason: reasonOf(error),
+				error: messageOf(error),
+			});
+			// The state is doubtful: nothing more may be written, so the process does not drain.
+			void finish(1);
+		});
+		let draining: Promise<void> | undefined;
+		const drain = async () => {
+			// A second signal neither shortens nor repeats the drain.
+			draining ??= (async () => {
+				await daemon.drain();
+				await daemon.stop();
+				await finish(0);
+			})();
+			return draining;
+		};
+
+		const daemon = new Daemon(context, () => {
+			void drain();
+		});
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.on(signal, () => {
+				void drain();
+			});
+		}
+
+		process.on('unhandledRejection', (error) => {
+			logger.error({
+				event: 'unhandled-rejection',
+				error: messageOf(error),
+				stack: error instanceof Error ? error.stack : undefined,
+			});
+		});
+		process.on('uncaughtException', (error) => {
+			context.fail(error);
+		});
+		const start = async () => {
+			try {
+				await daemon.start();
+			} catch (error) {
+				context.fail(error);
+			}
+		};
+
+		void start();
+	});
+};
--- /dev/null
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -0,0 +1,271 @@
+import {
+	ConfigurationView,
+	createLeaseState,
+	isLeaseValid,
+	type LeaseAction,
+	type LeaseEvent,
+	type LeaseState,
+	stepLease,
+} from '@marjoramcove/configuration';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {
+	applyMembershipUpdate,
+	createMembershipView,
+	type Member,
+	type MembershipView,
+} from '@marjoramcove/membership';
+import type {DaemonId} from '@marjoramcove/types';
+import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
+import type {GroupClientService} from './group-client-service.ts';
+import type {PeersService} from './peers-service.ts';
+import type {HeartbeatAnswer} from './registrar-service.ts';
+import {configGroup} from './replication-service.ts';
+
+const longestTickMs = 500;
+const heartbeatsInFlight = 3;
+
+/** Copy of the configuration and of the members on this daemon, kept current by heartbeats. */
+export class ConfigurationService extends Service {
+	readonly view = new ConfigurationView();
+	/** Adds figures to the load summary of the heartbeat. */
+	readonly loadSources: Array<() => Record<string, number>> = [];
+	readonly #context: DaemonContext;
+	readonly #membership: MembershipView = createMembershipView();
+	readonly #changeListeners = new Set<() => void>();
+	#groups!: GroupClientService;
+	#peers!: PeersService;
+	#lease: LeaseState = createLeaseState();
+	#timers: NodeJS.Timeout[] = [];
+	#inFlight = 0;
+	#hadLease = false;
+
+	constructor(context: DaemonContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'configuration';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#groups = kernel.get<GroupClientService>('group-client');
+		this.#peers = kernel.get<PeersService>('peers');
+		const {heartbeatMs} = this.#context.settings.timing;
+		this.#timers = [
+			setInterval(
+				() => {
+					this.#step({type: 'tick', wallMs: Date.now()});
+					this.#logLease();
+				},
+				Math.min(longestTickMs, heartbeatMs),
+			),
+			setInterval(() => {
+				this.heartbeat();
+			}, heartbeatMs),
+		];
+		this.#step({type: 'tick', wallMs: Date.now()});
+		// The procedures of this daemon are registered only after all services have started.
+		setImmediate(() => {
+			this.heartbeat();
+		});
+	}
+
+	override async stop() {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+	}
+
+	/** Whether this daemon may take new work under its copy of the configuration. */
+	get hasLease(): boolean {
+		return isLeaseValid(this.#lease, performance.now());
+	}
+
+	/** Live daemons as the configuration leader last reported them. */
+	get members(): ReadonlyMap<DaemonId, Member> {
+		return this.#membership.members;
+	}
+
+	/** Live daemons that take work. */
+	get readyDaemons(): DaemonId[] {
+		return [...this.#membership.members.values()]
+			.filter((member) => member.phase === 'ready')
+			.map((member) => member.daemonId);
+	}
+
+	/** Calls the listener after each change of the configuration or of the members. */
+	onChange(listener: () => void): void {
+		this.#changeListeners.add(listener);
+	}
+
+	/**
+	 * Throws unless the lease is valid.
+	 *
+	 * @throws RefusedError `configuration-lease-expired` with addresses of other daemons.
+	 */
+	assertLease(): void {
+		if (!this.hasLease) {
+			throw refusal(
+				'configuration-lease-expired',
+				'This daemon has no valid lease on the configuration.',
+				'Send the request to one of the other addresses.',
+				{addresses: this.otherAddresses()},
+			);
+		}
+	}
+
+	/** HTTP addresses of other daemons that take work. */
+	otherAddresses(): string[] {
+		const {daemonId, cluster} = this.#context.settings;
+		const ready = [...this.#membership.members.values()]
+			.filter(
+				(member) => member.phase === 'ready' && member.daemonId !== daemonId,
+			)
+			.map((member) => member.address);
+		return ready.length > 0
+			? ready.slice(0, 8)
+			: cluster.peers
+					.filter((peer) => peer.daemonId !== daemonId)
+					.map((peer) => peer.httpAddress)
+					.slice(0, 8);
+	}
+
+	/** Sends a heartbeat now, for example after a change of the phase. */
+	heartbeat(): void {
+		if (this.#inFlight >= heartbeatsInFlight) {
+			this.#context.retries.increment({
+				step: 'heartbeat',
+				reason: 'heartbeat-pending',
+			});
+			return;
+		}
+
+		for (const action of this.#step({type: 'send-heartbeat'})) {
+			if (action.type === 'send-heartbeat') {
+				void this.#sendHeartbeat(action.sequence, action.appliedRevision);
+			}
+		}
+	}
+
+	async #sendHeartbeat(sequence: number, appliedRevision: number) {
+		const {settings, incarnation, phase} = this.#context;
+		const {heartbeatMs, configurationLeaseMs} = settings.timing;
+		this.#inFlight++;
+		try {
+			const {epoch, version} = this.#membership;
+			const answer = await this.#groups.call<HeartbeatAnswer>(
+				configGroup,
+				'config.heartbeat',
+				{
+					sequence,
+					report: {
+						daemonId: settings.daemonId,
+						incarnation,
+						zone: settings.zone,
+						address: this.#httpAddress,
+						peerAddress: this.#peerAddress,
+						phase,
+						appliedRevision,
+						load: Object.assign(
+							{},
+							...this.loadSources.map((source) => source()),
+						) as Record<string, number>,
+					},
+					...(epoch !== '' && {known: {epoch, version}}),
+				},
+				{
+					timeoutMs: configurationLeaseMs,
+					attemptTimeoutMs: Math.max(heartbeatMs, 500),
+					channel: 'control',
+				},
+			);
+			this.#takeAnswer(sequence, answer);
+		} catch (error) {
+			this.#context.retries.increment({
+				step: 'heartbeat',
+				reason: reasonOf(error),
+			});
+		} finally {
+			this.#inFlight--;
+		}
+	}
+
+	#takeAnswer(sequence: number, answer: HeartbeatAnswer): void {
+		try {
+			if (answer.update && this.view.applyUpdate(answer.update) === 'applied') {
+				const {revision} = this.view.digest;
+				this.#step({type: 'revision-applied', revision});
+				this.#context.logger.info({event: 'configuration-applied', revision});
+				this.#notify();
+			}
+
+			this.#step({
+				type: 'heartbeat-answered',
+				sequence,
+				leaseMs: answer.leaseMs,
+				digest: answer.digest,
+			});
+			this.#takeMembers(answer);
+		} catch (error) {
+			this.#context.fail(error);
+		}
+	}
+
+	#takeMembers({members}: HeartbeatAnswer): void {
+		const {epoch, version} = this.#membership;
+		if (!applyMembershipUpdate(this.#membership, members)) {
+			this.#membership.epoch = '';
+			return;
+		}
+
+		if (epoch !== members.epoch || version !== members.version) {
+			for (const member of this.#membership.members.values()) {
+				this.#peers.learnAddress(member.daemonId, member.peerAddress);
+			}
+
+			this.#notify();
+		}
+	}
+
+	#step(event: LeaseEvent): LeaseAction[] {
+		const {state, actions} = stepLease(this.#lease, event, performance.now());
+		this.#lease = state;
+		for (const action of actions) {
+			if (action.type === 'freeze-detected') {
+				this.#context.logger.warn({
+					event: 'freeze-detected',
+					gapMs: Math.round(action.gapMs),
+				});
+			}
+		}
+
+		return actions;
+	}
+
+	#logLease(): void {
+		if (this.hasLease !== this.#hadLease) {
+			this.#hadLease = this.hasLease;
+			this.#context.logger.info({
+				event: this.#hadLease ? 'lease-valid' : 'lease-expired',
+				revision: this.view.digest.revision,
+			});
+		}
+	}
+
+	#notify(): void {
+		for (const listener of this.#changeListeners) {
+			listener();
+		}
+	}
+
+	get #httpAddress(): string {
+		const {advertise, listen} = this.#context.settings;
+		return advertise.httpAddress ?? `${listen.host}:${listen.httpPort}`;
+	}
+
+	get #peerAddress(): string {
+		const {advertise, listen} = this.#context.settings;
+		return advertise.peerAddress ?? `${listen.host}:${listen.peerPort}`;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -0,0 +1,556 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {UpstreamResource} from '@marjoramcove/configuration';
+import {planReleases} from '@marjoramcove/engine-control';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {type ProgramResult, programOfShard} from '@marjoramcove/programs';
+import type {ProgramId, UpstreamId} from '@marjoramcove/types';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {
+	attemptKey,
+	attemptSchema,
+	type AttemptName,
+	type AttemptStatus,
+	type CallPayload,
+	type Grant,
+} from '../call-contracts.ts';
+import {
+	type DaemonContext,
+	messageOf,
+	reasonOf,
+	refusal,
+} from '../daemon-context.ts';
+import {type AttemptResult, CallRun} from '../dispatcher/call-run.ts';
+import {EngineQueue} from '../dispatcher/engine-queue.ts';
+import {
+	cancelStream,
+	messageMarker,
+	type ModelEnd,
+	runModelCall,
+} from '../dispatcher/run-model-call.ts';
+import {runToolCall} from '../dispatcher/run-tool-call.ts';
+import type {ConfigurationService} from './configuration-service.ts';
+import type {GroupClientService} from './group-client-service.ts';
+import type {PeersService} from './peers-service.ts';
+import {shardGroup} from './replication-service.ts';
+import type {UpstreamsService} from './upstreams-service.ts';
+
+const dispatchSchema = z.object({
+	grant: z.custom<Grant>((value) => typeof value === 'object'),
+	payload: z.custom<CallPayload>((value) => typeof value === 'object'),
+	fromOffset: z.int().default(0),
+});
+
+/** Time for which a finished run is kept for readers that attach late. */
+const keepFinishedMs = 60_000;
+/** Time for which a discarded or finished attempt is refused when its grant arrives late. */
+const keepKeysMs = 600_000;
+const settleGraceMs = 20_000;
+
+/** Queues calls per upstream, sends each granted attempt once, streams and settles it. */
+export class DispatcherService extends Service {
+	readonly #context: DaemonContext;
+	readonly #runs = new Map<string, CallRun>();
+	/** Attempts that must not start any more, with the time at which they can be forgotten. */
+	readonly #closed = new Map<
+		string,
+		{status: AttemptStatus; untilMs: number}
+	>();
+
+	readonly #queues = new Map<UpstreamId, EngineQueue>();
+	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
+	#configuration!: ConfigurationService;
+	#upstreams!: UpstreamsService;
+	#groups!: GroupClientService;
+	#timers: NodeJS.Timeout[] = [];
+
+	constructor(context: DaemonContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'dispatcher';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#configuration = kernel.get<ConfigurationService>('configuration');
+		this.#upstreams = kernel.get<UpstreamsService>('upstreams');
+		this.#groups = kernel.get<GroupClientService>('group-client');
+		this.#serve(kernel.get<PeersService>('peers'));
+		this.#timers = [
+			setInterval(() => {
+				this.#forgetOld();
+			}, 5000),
+			setInterval(() => {
+				void this.#reconcileMemory();
+			}, this.#context.settings.timing.memoryReconcileMs),
+		];
+		this.#configuration.loadSources.push(() => ({runs: this.activeRuns}));
+	}
+
+	override async stop() {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		await Promise.all(
+			[...this.#agents.values()].map(async ({agent}) => agent.destroy()),
+		);
+	}
+
+	/** Waits until all accepted attempts have settled. */
+	override async drain() {
+		while (this.activeRuns > 0) {
+			await sleep(50);
+		}
+	}
+
+	/** Attempts that have not ended. */
+	get activeRuns(): number {
+		let count = 0;
+		for (const run of this.#runs.values()) {
+			count += run.isFinished ? 0 : 1;
+		}
+
+		return count;
+	}
+
+	#serve(peers: PeersService): void {
+		peers.handleStream('dispatch.run', dispatchSchema, (input, signal) =>
+			this.#open(input.grant, input.payload).read(input.fromOffset, signal),
+		);
+		peers.handle('dispatch.start', dispatchSchema, async (input) => {
+			this.#open(input.grant, input.payload);
+			return {started: true};
+		});
+		peers.handle(
+			'dispatch.status',
+			z.object({attempts: z.array(attemptSchema)}),
+			async ({attempts}) => ({
+				incarnation: this.#context.incarnation,
+				statuses: attempts.map((attempt) => this.#statusOf(attempt)),
+			}),
+		);
+		peers.handle('dispatch.discard', attemptSchema, async (attempt) => ({
+			discarded: this.#discard(attempt),
+		}));
+		peers.handle(
+			'dispatch.cancel',
+			attemptSchema.extend({reason: z.string()}),
+			async (attempt) => this.#cancel(attempt, attempt.reason),
+		);
+	}
+
+	#statusOf(attempt: AttemptName): AttemptStatus {
+		const key = attemptKey(attempt);
+		return (
+			this.#runs.get(key)?.status ?? this.#closed.get(key)?.status ?? 'unknown'
+		);
+	}
+
+	/** Makes sure that an attempt is never sent; false when it has been sent. */
+	#discard(attempt: AttemptName): boolean {
+		if (attempt.dispatcherIncarnation !== this.#context.incarnation) {
+			return false;
+		}
+
+		const key = attemptKey(attempt);
+		const run = this.#runs.get(key);
+		if (run && run.status !== 'queued' && run.status !== 'discarded') {
+			return false;
+		}
+
+		this.#close(key, 'discarded');
+		run?.finish('discarded', {type: 'lost', reason: 'grant-discarded'});
+		return true;
+	}
+
+	#cancel(attempt: AttemptName, reason: string): {cancelled: boolean} {
+		const key = attemptKey(attempt);
+		const run = this.#runs.get(key);
+		this.#close(key, 'lost');
+		if (!run || run.isFinished) {
+			return {cancelled: false};
+		}
+
+		run.finish('lost', {type: 'lost', reason});
+		run.abort.abort();
+		return {cancelled: true};
+	}
+
+	#close(key: string, status: AttemptStatus): void {
+		this.#closed.set(key, {status, untilMs: performance.now() + keepKeysMs});
+	}
+
+	/**
+	 * Starts the attempt of a grant, or finds it when it runs already.
+	 *
+	 * @throws RefusedError when the grant is for another incarnation, discarded or too old.
+	 */
+	#open(grant: Grant, payload: CallPayload): CallRun {
+		const key = attemptKey(grant);
+		const known = this.#runs.get(key);
+		if (known) {
+			return known;
+		}
+
+		if (grant.dispatcherIncarnation !== this.#context.incarnation) {
+			throw this.#refuse('dispatcher-restarted', 'The dispatcher restarted.');
+		}
+
+		if (this.#closed.has(key)) {
+			throw this.#refuse('grant-discarded', 'The grant is not valid any more.');
+		}
+
+		if (grant.timeoutMs <= 0) {
+			throw this.#refuse('grant-expired', 'The time of the call is over.');
+		}
+
+		const run = new CallRun({grant, payload});
+		this.#runs.set(key, run);
+		void this.#queue(run);
+		return run;
+	}
+
+	#refuse(reason: string, message: string) {
+		this.#context.refusals.increment({reason});
+		return refusal(reason, message, 'Report the attempt as lost to its owner.');
+	}
+
+	async #queue(run: CallRun): Promise<void> {
+		const {grant} = run;
+		const upstream = this.#upstreams.lookUp(grant.upstreamId);
+		const limit = this.#context.settings.limits.queuedCallsPerEngine;
+		try {
+			if (!upstream || this.#upstreams.isLeaving(grant.upstreamId)) {
+				await this.#giveBack(run, 'upstream-leaving');
+				return;
+			}
+
+			const queue = this.#queueOf(upstream);
+			if (queue.waiting >= limit) {
+				await this.#giveBack(run, 'engine-queue-full');
+				return;
+			}
+
+			const end = await queue.run(
+				{
+					programId: grant.programId,
+					callerId: grant.callerId,
+					requestId: grant.requestId,
+					queuedAtMs: performance.now(),
+					attainedTokens: grant.attainedTokens,
+					promptTokens: grant.promptTokens,
+					cachedTokens: grant.cachedTokens,
+					expectedCompletionTokens: Math.min(256, grant.maxTokens),
+					turn: grant.turn,
+					priority: grant.priority,
+				},
+				async () => this.#send(run, upstream),
+			);
+			// The slot is free from here on; the commit of the outcome does not occupy it.
+			if (end) {
+				await this.#finish(run, upstream, end);
+			}
+		} catch (error) {
+			this.#context.logger.error({
+				event: 'dispatch-failed',
+				programId: grant.programId,
+				requestId: grant.requestId,
+				error: messageOf(error),
+			});
+			run.finish('lost', {type: 'lost', reason: reasonOf(error)});
+		}
+	}
+
+	/** Ends an attempt that was not sent: another upstream may take it, or it is settled as not run. */
+	async #giveBack(run: CallRun, reason: string): Promise<void> {
+		this.#context.refusals.increment({reason});
+		if (run.grant.idempotent && reason === 'upstream-leaving') {
+			run.finish('lost', {type: 'lost', reason});
+			return;
+		}
+
+		await this.#settle(run, {
+			outcome: {
+				status: 'failed',
+				verdict: 'not-run',
+				reason,
+				message: `The call was not sent: ${reason}.`,
+			},
+			content: '',
+			finishReason: 'error',
+		});
+	}
+
+	async #send(
+		run: CallRun,
+		upstream: UpstreamResource,
+	): Promise<ModelEnd | undefined> {
+		if (run.isFinished) {
+			return undefined;
+		}
+
+		// The wait may have been long, or the process frozen: everything is checked again before sending.
+		const nowMs = performance.now();
+		if (nowMs >= run.deadlineMs) {
+			await this.#giveBack(
+				run,
+				run.grant.kind === 'tool' ? 'tool-timeout' : 'call-timeout',
+			);
+			return undefined;
+		}
+
+		if (this.#upstreams.isLeaving(upstream.name)) {
+			await this.#giveBack(run, 'upstream-leaving');
+			return undefined;
+		}
+
+		this.#context.steps.record(nowMs - run.receivedMs, {step: 'queue'});
+		run.status = 'sent';
+		const end = await this.#call(run, upstream);
+		this.#context.steps.record(performance.now() - nowMs, {
+			step: run.grant.kind,
+		});
+		return end;
+	}
+
+	async #call(run: CallRun, upstream: UpstreamResource): Promise<ModelEnd> {
+		const {address} = upstream.spec;
+		const dispatcher = this.#agentOf(upstream);
+		if (upstream.spec.type === 'service') {
+			return runToolCall({
+				dispatcher,
+				address,
+				run,
+				answerSizeBytes: this.#context.settings.limits.answerSizeBytes,
+			});
+		}
+
+		const timer = setTimeout(
+			() => {
+				run.abort.abort();
+			},
+			Math.max(1, run.deadlineMs - performance.now()),
+		);
+		try {
+			return await runModelCall({
+				context: this.#context,
+				dispatcher,
+				address,
+				run,
+			});
+		} finally {
+			clearTimeout(timer);
+			if (run.abort.signal.aborted) {
+				void this.#stopStream(run, upstream);
+			}
+		}
+	}
+
+	async #stopStream(run: CallRun, upstream: UpstreamResource): Promise<void> {
+		try {
+			await cancelStream({
+				dispatcher: this.#agentOf(upstream),
+				address: upstream.spec.address,
+				run,
+			});
+		} catch (error) {
+			this.#context.logger.debug({
+				event: 'stream-not-cancelled',
+				upstream: upstream.name,
+				error: messageOf(error),
+			});
+		}
+	}
+
+	async #finish(
+		run: CallRun,
+		upstream: UpstreamResource,
+		end: ModelEnd,
+	): Promise<void> {
+		if (end.type === 'done') {
+			await this.#settle(run, end.result);
+			return;
+		}
+
+		if (end.reason.endsWith('unreachable')) {
+			this.#upstreams.noteUnreachable(upstream.name);
+		}
+
+		if (performance.now() >= run.deadlineMs) {
+			await this.#settle(run, {
+				outcome: {
+					status: 'failed',
+					verdict: 'may-have-run',
+					reason: run.grant.kind === 'tool' ? 'tool-timeout' : 'call-timeout',
+					message: 'The call did not end within its time.',
+				},
+				content: '',
+				finishReason: 'error',
+			});
+			return;
+		}
+
+		this.#context.logger.info({
+			event: 'attempt-lost',
+			programId: run.grant.programId,
+			requestId: run.grant.requestId,
+			upstream: upstream.name,
+			reason: end.reason,
+		});
+		run.finish('lost', {type: 'lost', reason: end.reason});
+	}
+
+	/** Records the outcome at the owner; only then do readers get the end of the answer. */
+	async #settle(run: CallRun, result: AttemptResult): Promise<void> {
+		const {grant} = run;
+		if (run.isFinished) {
+			return;
+		}
+
+		const isAnswer = result.outcome.status === 'answered';
+		const {usage} = result;
+		const startedMs = performance.now();
+		const answer = await this.#groups.call<ProgramResult>(
+			shardGroup(programOfShard(grant.programId)),
+			'programs.settle',
+			{
+				programId: grant.programId,
+				requestId: grant.requestId,
+				attempt: grant.attempt,
+				outcome: result.outcome,
+				...(isAnswer && {
+					answer: {
+						role: grant.kind === 'model' ? 'assistant' : 'tool',
+						content: encodeAnswer(result),
+					},
+				}),
+				...(usage && {
+					usedTokens: usage.prompt_tokens + usage.completion_tokens,
+					cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
+				}),
+				...(!isAnswer &&
+					result.outcome.verdict === 'not-run' && {usedTokens: 0}),
+			},
+			{
+				timeoutMs: Math.max(
+					settleGraceMs,
+					run.deadlineMs - performance.now() + settleGraceMs,
+				),
+				attemptTimeoutMs: 3000,
+			},
+		);
+		this.#context.steps.record(performance.now() - startedMs, {
+			step: 'settle',
+		});
+		if (answer.outcome === 'settled') {
+			run.finish('settled', {type: 'final', ...result});
+		} else {
+			run.finish('lost', {type: 'lost', reason: 'attempt-superseded'});
+		}
+	}
+
+	#queueOf({name, spec}: UpstreamResource): EngineQueue {
+		let queue = this.#queues.get(name);
+		if (!queue) {
+			queue = new EngineQueue(spec.slots, this.#context.settings.policy);
+			this.#queues.set(name, queue);
+		}
+
+		queue.setSlots(spec.slots);
+		return queue;
+	}
+
+	#agentOf({name, spec}: UpstreamResource): Agent {
+		let entry = this.#agents.get(name);
+		if (entry?.address !== spec.address) {
+			void entry?.agent.close();
+			entry = {
+				address: spec.address,
+				agent: new Agent({pipelining: 1, connect: {timeout: 2000}}),
+			};
+			this.#agents.set(name, entry);
+		}
+
+		return entry.agent;
+	}
+
+	#forgetOld(): void {
+		const nowMs = performance.now();
+		for (const [key, run] of this.#runs) {
+			if (nowMs - run.finishedMs > keepFinishedMs) {
+				this.#runs.delete(key);
+				this.#close(key, run.status);
+			}
+		}
+
+		for (const [key, {untilMs}] of this.#closed) {
+			if (nowMs > untilMs) {
+				this.#closed.delete(key);
+			}
+		}
+	}
+
+	/** Releases memory that engines hold for programs that have ended or are unknown. */
+	async #reconcileMemory(): Promise<void> {
+		const {daemonId} = this.#context.settings;
+		const engines = this.#configuration.view.upstreams.filter(
+			({name, spec}) =>
+				spec.type === 'engine' &&
+				this.#upstreams.dispatcherOf(name) === daemonId,
+		);
+		for (const engine of engines) {
+			try {
+				await this.#reconcileEngine(engine);
+			} catch (error) {
+				this.#context.retries.increment({
+					step: 'reconcile-memory',
+					reason: reasonOf(error),
+				});
+			}
+		}
+	}
+
+	async #reconcileEngine(engine: UpstreamResource): Promise<void> {
+		const dispatcher = this.#agentOf(engine);
+		const {address} = engine.spec;
+		const timeouts = {headersTimeout: 2000, bodyTimeout: 2000};
+		const {body} = await request(`${address}/v1/kv`, {dispatcher, ...timeouts});
+		const {programs} = (await body.json()) as {
+			programs: Array<{programId: ProgramId; tokens: number}>;
+		};
+		const {shardCount} = this.#context.settings.cluster;
+		for (let shard = 0; shard < shardCount; shard++) {
+			const held = programs.filter(
+				({programId}) => programOfShard(programId) === shard,
+			);
+			if (held.length === 0) {
+				continue;
+			}
+
+			const dead = new Set(
+				await this.#groups.call<ProgramId[]>(
+					shardGroup(shard),
+					'programs.findDead',
+					{programIds: held.map(({programId}) => programId)},
+					{timeoutMs: 3000},
+				),
+			);
+			for (const programId of planReleases(held, (id) => !dead.has(id))) {
+				const answer = await request(
+					`${address}/v1/kv/${encodeURIComponent(programId)}`,
+					{method: 'DELETE', dispatcher, ...timeouts},
+				);
+				await answer.body.dump();
+			}
+		}
+	}
+}
+
+/** Text of an answer for the history; tool calls of a model need the whole message. */
+const encodeAnswer = ({content, toolCalls}: AttemptResult): string =>
+	toolCalls
+		? `${messageMarker}${JSON.stringify({content: content || null, tool_calls: toolCalls})}`
+		: content;
--- /dev/null
+++ b/packages/daemon/src/services/entry-service.ts
@@ -0,0 +1,255 @@
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import polka from 'polka';
+import {
+	type DaemonContext,
+	messageOf,
+	reasonOf,
+	refusal,
+} from '../daemon-context.ts';
+import {createCompletionRoute, createToolRoute} from '../entry/call-routes.ts';
+import {EntryCore} from '../entry/entry-core.ts';
+import {forwardedHeader, RequestForwarder} from '../entry/forward-request.ts';
+import {
+	type Handler,
+	headerOf,
+	type HttpRequest,
+	readBody,
+	sendError,
+	sendJson,
+} from '../entry/http-answers.ts';
+import * as operator from '../entry/operator-routes.ts';
+import * as programs from '../entry/program-routes.ts';
+import type {ConfigurationService} from './configuration-service.ts';
+import type {GroupClientService} from './group-client-service.ts';
+import type {PeersService} from './peers-service.ts';
+import type {ReplicationService} from './replication-service.ts';
+import type {UpstreamsService} from './upstreams-service.ts';
+
+/** HTTP API for callers and operators. */
+export class EntryService extends Service {
+	readonly #context: DaemonContext;
+	readonly #drain: () => void;
+	#core!: EntryCore;
+	#forwarder!: RequestForwarder;
+	#replication!: ReplicationService;
+	#server: Server | undefined;
+	#active = 0;
+
+	constructor(context: DaemonContext, drain: () => void) {
+		super();
+		this.#context = context;
+		this.#drain = drain;
+	}
+
+	override get name() {
+		return 'entry';
+	}
+
+	/** Requests that have not been answered. */
+	get activeRequests(): number {
+		return this.#active;
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#core = new EntryCore({
+			context: this.#context,
+			configuration: kernel.get<ConfigurationService>('configuration'),
+			groups: kernel.get<GroupClientService>('group-client'),
+			peers: kernel.get<PeersService>('peers'),
+			upstreams: kernel.get<UpstreamsService>('upstreams'),
+		});
+		this.#replication = kernel.get<ReplicationService>('replication');
+		this.#forwarder = new RequestForwarder(this.#core);
+		const server = createServer();
+		server.maxConnections = this.#context.settings.limits.openConnections;
+		server.requestTimeout = 60_000;
+		const app = polka({
+			server,
+			onError(error, _request, response) {
+				sendError(response, error);
+			},
+			onNoMatch(_request, response) {
+				sendError(
+					response,
+					refusal(
+						'path-unknown',
+						'No route has this method and path.',
+						'See section 11 of docs/design.md for the routes.',
+					),
+				);
+			},
+		});
+		this.#route(app);
+		const {host, httpPort} = this.#context.settings.listen;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			app.listen(httpPort, host, () => {
+				server.off('error', reject);
+				resolve();
+			});
+		});
+		this.#server = server;
+	}
+
+	override async stop() {
+		const server = this.#server;
+		if (server) {
+			await new Promise<void>((resolve) => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeAllConnections();
+			});
+		}
+
+		await this.#forwarder.close();
+	}
+
+	/** Waits for the requests under way. */
+	override async drain() {
+		while (this.#active > 0) {
+			await sleep(50);
+		}
+	}
+
+	#route(app: polka.Polka): void {
+		const core = this.#core;
+		const work = (handler: Handler) => this.#wrap(handler, true);
+		const read = (handler: Handler) => this.#wrap(handler, false);
+		app
+			.get(
+				'/livez',
+				read(async (_request, response) => {
+					sendJson(response, 200, {status: 'alive'});
+				}),
+			)
+			.get(
+				'/readyz',
+				read(async (_request, response) => {
+					this.#answerReady(response);
+				}),
+			)
+			.get(
+				'/metrics',
+				read(async (_request, response) => {
+					response.writeHead(200, {
+						'content-type': 'text/plain; version=0.0.4',
+					});
+					response.end(this.#context.metrics.render());
+				}),
+			)
+			.get('/v1/addresses', read(programs.createAddressesRoute(core)))
+			.post('/v1/chat/completions', work(createCompletionRoute(core)))
+			.post('/v1/tools/:service/:operation', work(createToolRoute(core)))
+			.post('/v1/programs', work(programs.createOpenRoute(core)))
+			.get('/v1/programs/:id', work(programs.createDescribeRoute(core)))
+			.get('/v1/programs/:id/history', work(programs.createHistoryRoute(core)))
+			.post('/v1/programs/:id/pause', work(programs.createPauseRoute(core)))
+			.post('/v1/programs/:id/end', work(programs.createEndRoute(core)))
+			.get(
+				'/v1/programs/:id/requests/:requestId',
+				work(programs.createRequestRoute(core)),
+			);
+		this.#routeOperator(app, work, read);
+	}
+
+	#routeOperator(
+		app: polka.Polka,
+		work: (handler: Handler) => polka.Middleware,
+		read: (handler: Handler) => polka.Middleware,
+	): void {
+		const core = this.#core;
+		app
+			.post('/v1/operator/changes', work(operator.createChangesRoute(core)))
+			.get('/v1/operator/resources', read(operator.createResourcesRoute(core)))
+			.get('/v1/operator/programs', read(operator.createProgramsRoute(core)))
+			.get('/v1/operator/upstreams', read(operator.createUpstreamsRoute(core)))
+			.get('/v1/operator/daemons', read(operator.createDaemonsRoute(core)))
+			.get(
+				'/v1/operator/replication',
+				read(operator.createReplicationRoute(core)),
+			)
+			.post(
+				'/v1/operator/replicas/replace',
+				work(operator.createReplaceRoute(core)),
+			)
+			.post(
+				'/v1/operator/drain',
+				read(operator.createDrainRoute(core, this.#drain)),
+			);
+	}
+
+	#answerReady(response: ServerResponse): void {
+		const {phase} = this.#context;
+		const isReady =
+			phase === 'ready' &&
+			this.#core.configuration.hasLease &&
+			this.#replication.isReady;
+		sendJson(response, isReady ? 200 : 503, {
+			status: isReady ? 'ready' : 'not-ready',
+			phase,
+			hasLease: this.#core.configuration.hasLease,
+			diskTakesWrites: this.#replication.isReady,
+		});
+	}
+
+	/** Counts the request, reads its body, forwards it during a drain, and answers errors. */
+	#wrap(handler: Handler, isWork: boolean): polka.Middleware {
+		return (async (request: HttpRequest, response: ServerResponse) => {
+			this.#active++;
+			const startedMs = performance.now();
+			try {
+				request.rawBody = await readBody(
+					request,
+					this.#context.settings.limits.requestSizeBytes,
+				);
+				await (isWork && this.#mustForward(request)
+					? this.#forwarder.forward(request, response)
+					: handler(request, response));
+			} catch (error) {
+				this.#answerError(request, response, error);
+			} finally {
+				this.#active--;
+				this.#context.steps.record(performance.now() - startedMs, {
+					step: 'request',
+				});
+			}
+		}) as never;
+	}
+
+	#mustForward(request: HttpRequest): boolean {
+		return (
+			this.#context.phase === 'draining' &&
+			headerOf(request, forwardedHeader) === undefined
+		);
+	}
+
+	#answerError(
+		request: HttpRequest,
+		response: ServerResponse,
+		error: unknown,
+	): void {
+		const reason = reasonOf(error);
+		this.#context.refusals.increment({reason});
+		const fields = {
+			event: 'request-failed',
+			method: request.method,
+			path: request.path,
+			reason,
+			error: messageOf(error),
+		};
+		if (reason === 'internal-error') {
+			const {stack} = error as Error;
+			this.#context.logger.error({...fields, stack});
+		} else {
+			this.#context.logger.debug(fields);
+		}
+
+		sendError(response, error);
+		if (!response.writableEnded) {
+			response.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/services/owner-service.ts
@@ -0,0 +1,360 @@
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {
+	describeProgram,
+	isProgramLive,
+	type ProgramCommand,
+	type ProgramResult,
+} from '@marjoramcove/programs';
+import {decideRetention} from '@marjoramcove/scheduler';
+import type {ProgramId} from '@marjoramcove/types';
+import {z} from 'zod';
+import {
+	type AcceptInput,
+	acceptSchema,
+	programIdSchema,
+	requestIdSchema,
+} from '../call-contracts.ts';
+import type {DaemonContext} from '../daemon-context.ts';
+import {CallAccepter} from '../owner/call-accepter.ts';
+import {CallRecovery} from '../owner/call-recovery.ts';
+import {commandTimeMs, OwnerCore} from '../owner/owner-core.ts';
+import {OwnerSweeps} from '../owner/owner-sweeps.ts';
+import {ProgramGates} from '../owner/program-gates.ts';
+import {
+	carveSchema,
+	openSchema,
+	ProgramRegistry,
+} from '../owner/program-registry.ts';
+import type {Outstanding} from '../owner/route-call.ts';
+import type {ConfigurationService} from './configuration-service.ts';
+import type {GroupClientService} from './group-client-service.ts';
+import type {PeersService} from './peers-service.ts';
+import type {ReplicationService} from './replication-service.ts';
+import type {UpstreamsService} from './upstreams-service.ts';
+
+const settleSchema = z.object({
+	programId: programIdSchema,
+	requestId: requestIdSchema,
+	attempt: z.int(),
+	outcome:
+		z.custom<Extract<ProgramCommand, {type: 'settle-call'}>['outcome']>(),
+	answer: z.object({role: z.string(), content: z.string()}).optional(),
+	usedTokens: z.int().optional(),
+	cachedTokens: z.int().optional(),
+});
+
+const programSchema = z.object({programId: programIdSchema});
+
+/** Owner of the programs of the shards that this daemon leads. */
+export class OwnerService extends Service {
+	readonly #context: DaemonContext;
+	readonly #outstanding: Outstanding = new Map();
+	/** Requests whose calls are open, for attempts after the first one. */
+	readonly #inputs = new Map<string, AcceptInput>();
+	readonly #openCalls = new Map<string, {upstreamId: string; tokens: number}>();
+	#core!: OwnerCore;
+	#gates!: ProgramGates;
+	#accepter!: CallAccepter;
+	#recovery!: CallRecovery;
+	#registry!: ProgramRegistry;
+	#sweeps!: OwnerSweeps;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(context: DaemonContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'owner';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		const {settings} = this.#context;
+		this.#core = new OwnerCore({
+			context: this.#context,
+			replication: kernel.get<ReplicationService>('replication'),
+			configuration: kernel.get<ConfigurationService>('configuration'),
+			upstreams: kernel.get<UpstreamsService>('upstreams'),
+			peers: kernel.get<PeersService>('peers'),
+			groups: kernel.get<GroupClientService>('group-client'),
+		});
+		this.#gates = new ProgramGates(settings.limits.queuedCallsPerProgram);
+		this.#accepter = new CallAccepter(
+			this.#core,
+			this.#gates,
+			this.#outstanding,
+		);
+		this.#recovery = new CallRecovery(
+			this.#core,
+			this.#accepter,
+			this.#outstanding,
+		);
+		this.#registry = new ProgramRegistry(this.#core, this.#accepter);
+		this.#sweeps = new OwnerSweeps(this.#core, this.#recovery, this.#inputs);
+		this.#core.replication.onApplied((_shard, command, result) => {
+			this.#noteApplied(command, result);
+		});
+		this.#core.replication.onLeadershipChange((groupId, leadership) => {
+			this.#context.logger.info({
+				event: 'leader-changed',
+				groupId,
+				leader: leadership.leaderId ?? 'none',
+				term: leadership.term,
+			});
+			this.#gates.notifyAll();
+		});
+		this.#serveCalls(this.#core.peers);
+		this.#servePrograms(this.#core.peers);
+		this.#serveBudgets(this.#core.peers);
+		if (settings.roles.includes('state')) {
+			this.#timer = setInterval(() => {
+				void this.#sweeps.run();
+			}, settings.timing.openIntentSweepMs);
+		}
+	}
+
+	override async stop() {
+		clearInterval(this.#timer);
+		await this.#sweeps.stop();
+	}
+
+	#serveCalls(peers: PeersService): void {
+		peers.handle('programs.accept', acceptSchema, async (input) => {
+			const startedMs = performance.now();
+			const state = await this.#accepter.accept(input);
+			if (state.status === 'granted') {
+				this.#inputs.set(`${input.programId}:${input.requestId}`, input);
+			}
+
+			this.#context.steps.record(performance.now() - startedMs, {
+				step: 'accept',
+			});
+			return state;
+		});
+		peers.handle(
+			'programs.reportLost',
+			z.object({
+				accept: acceptSchema,
+				attempt: z.int(),
+				partial: z.string(),
+			}),
+			async ({accept, attempt, partial}) => {
+				const state = await this.#recovery.recover(accept, attempt, partial);
+				if (state.status === 'granted') {
+					this.#inputs.set(`${accept.programId}:${accept.requestId}`, accept);
+				}
+
+				return state;
+			},
+		);
+		peers.handle('programs.settle', settleSchema, async (input) => {
+			await this.#core.lead(input.programId);
+			return this.#core.commit(input.programId, {
+				type: 'settle-call',
+				nowMs: commandTimeMs(),
+				...input,
+			});
+		});
+	}
+
+	#servePrograms(peers: PeersService): void {
+		peers.handle('programs.open', openSchema, async (input) =>
+			this.#registry.open(input),
+		);
+		peers.handle('programs.carve', carveSchema, async (input) =>
+			this.#registry.carve(input),
+		);
+		peers.handle(
+			'programs.end',
+			z.object({programId: programIdSchema, reason: z.string()}),
+			async ({programId, reason}) => {
+				const open = describeProgram(
+					await this.#core.lead(programId),
+					programId,
+				)?.call;
+				const result = await this.#registry.end(programId, reason);
+				if (open) {
+					void this.#sweeps.cancel([{...open, reason}]);
+				}
+
+				void this.#sweeps.run();
+				return result;
+			},
+		);
+		peers.handle('programs.describe', programSchema, async ({programId}) =>
+			this.#registry.describe(programId),
+		);
+		peers.handle('programs.history', programSchema, async ({programId}) =>
+			this.#registry.history(programId),
+		);
+		peers.handle(
+			'programs.request',
+			z.object({programId: programIdSchema, requestId: requestIdSchema}),
+			async ({programId, requestId}) =>
+				this.#registry.request(programId, requestId),
+		);
+		peers.handle('programs.list', z.object({limit: z.int()}), async ({limit}) =>
+			this.#registry.list(limit),
+		);
+		peers.handle(
+			'programs.pause',
+			z.object({programId: programIdSchema, expectedMs: z.number()}),
+			async ({programId, expectedMs}) => this.#pause(programId, expectedMs),
+		);
+		peers.handle(
+			'programs.findDead',
+			z.object({programIds: z.array(programIdSchema).min(1)}),
+			async ({programIds}) => {
+				const state = await this.#core.lead(programIds[0]!);
+				return programIds.filter((id) => !isProgramLive(state, id));
+			},
+		);
+	}
+
+	#serveBudgets(peers: PeersService): void {
+		peers.handle(
+			'programs.returnBudget',
+			z.object({
+				programId: programIdSchema,
+				childId: programIdSchema,
+				spentTokens: z.int(),
+				spentTurns: z.int(),
+			}),
+			async (input) => {
+				await this.#core.lead(input.programId);
+				return this.#core.commit(input.programId, {
+					type: 'return-budget',
+					nowMs: commandTimeMs(),
+					...input,
+				});
+			},
+		);
+		peers.handle(
+			'programs.checkChild',
+			z.object({
+				programId: programIdSchema,
+				parentId: programIdSchema,
+				parentEnded: z.boolean(),
+				isOld: z.boolean(),
+			}),
+			async ({programId, parentId, parentEnded, isOld}) => {
+				const state = await this.#core.lead(programId);
+				const child = describeProgram(state, programId);
+				if (!child && isOld) {
+					await this.#core.commit(programId, {
+						type: 'abandon-program',
+						nowMs: commandTimeMs(),
+						programId,
+						parentId,
+					});
+				} else if (child?.phase === 'open' && parentEnded) {
+					await this.#registry.end(programId, 'parent-ended');
+				}
+
+				return {programId};
+			},
+		);
+	}
+
+	/** Decides what happens to the cache of a program over a pause. */
+	async #pause(programId: ProgramId, expectedMs: number) {
+		const program = await this.#core.openProgram(programId);
+		const hold = program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0];
+		if (!hold || program.call) {
+			return {programId, decision: 'keep'};
+		}
+
+		const load = this.#core.upstreams.load(hold.upstreamId);
+		const decision = decideRetention(
+			{
+				cachedTokens: Math.floor(program.historyBytes / 4),
+				expectedPauseMs: expectedMs,
+				programEnded: false,
+				cacheUsedTokens: load.kvTokens,
+				cacheCapacityTokens: load.kvCapacityTokens,
+				exportFreeTokens: 0,
+			},
+			this.#context.settings.policy,
+		);
+		if (decision === 'drop') {
+			await this.#sweeps.deleteMemory(programId, hold.upstreamId);
+			await this.#core.commit(programId, {
+				type: 'record-release',
+				nowMs: commandTimeMs(),
+				programId,
+				upstreamId: hold.upstreamId,
+				heldTurn: hold.heldTurn,
+			});
+		}
+
+		return {programId, decision};
+	}
+
+	/** Keeps the load that this owner granted, and wakes the calls that wait for a settled one. */
+	#noteApplied(command: ProgramCommand, result: ProgramResult): void {
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- most results open or close no call
+		switch (result.outcome) {
+			case 'accepted':
+			case 'retried': {
+				const {programId, requestId, upstreamId, reservedTokens} = result.call;
+				this.#forget(programId, requestId);
+				this.#openCalls.set(`${programId}:${requestId}`, {
+					upstreamId,
+					tokens: reservedTokens,
+				});
+				const entry = this.#outstanding.get(upstreamId) ?? {
+					calls: 0,
+					tokens: 0,
+				};
+				entry.calls++;
+				entry.tokens += reservedTokens;
+				this.#outstanding.set(upstreamId, entry);
+				break;
+			}
+
+			case 'settled': {
+				if (command.type === 'settle-call') {
+					this.#close(command.programId, command.requestId);
+				}
+
+				break;
+			}
+
+			case 'ended':
+			case 'expired': {
+				for (const {programId, requestId} of result.cancelled) {
+					this.#close(programId, requestId);
+				}
+
+				if (command.type === 'end-program') {
+					this.#gates.notify(command.programId);
+				}
+
+				break;
+			}
+
+			default: {
+				// Other results open or close no call.
+				break;
+			}
+		}
+	}
+
+	#close(programId: ProgramId, requestId: string): void {
+		this.#forget(programId, requestId);
+		this.#inputs.delete(`${programId}:${requestId}`);
+		this.#gates.notify(programId);
+	}
+
+	#forget(programId: ProgramId, requestId: string): void {
+		const key = `${programId}:${requestId}`;
+		const open = this.#openCalls.get(key);
+		const entry = open && this.#outstanding.get(open.upstreamId as never);
+		if (open && entry) {
+			entry.calls--;
+			entry.tokens -= open.tokens;
+			this.#openCalls.delete(key);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/services/replication-service.ts
@@ -0,0 +1,274 @@
+import type {ConfigurationCommand} from '@marjoramcove/configuration';
+import {
+	type Leadership,
+	type ReplicaChange,
+	ReplicaHost,
+} from '@marjoramcove/consensus';
+import {NotLeaderError} from '@marjoramcove/errors';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import type {ProgramCommand, ProgramResult} from '@marjoramcove/programs';
+import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
+import {z} from 'zod';
+import {type DaemonContext, messageOf} from '../daemon-context.ts';
+import type {PeersService} from './peers-service.ts';
+import {
+	ConfigurationMachine,
+	encodeCommand,
+	ProgramsMachine,
+} from './state-machines.ts';
+
+export const configGroup = asId<GroupId>('config');
+
+/** Group of a shard. */
+export const shardGroup = (shard: number): GroupId =>
+	asId<GroupId>(`shard-${shard}`);
+
+type AppliedListener = (
+	shard: number,
+	command: ProgramCommand,
+	result: ProgramResult,
+) => void;
+
+/** Runs the replicas of this daemon's disk; without the role `state` it leads and knows nothing. */
+export class ReplicationService extends Service {
+	readonly configuration = new ConfigurationMachine();
+	readonly shards: ProgramsMachine[] = [];
+	readonly #context: DaemonContext;
+	readonly #appliedListeners = new Set<AppliedListener>();
+	readonly #readyTerms = new Map<
+		GroupId,
+		{term: number; ready: Promise<void>}
+	>();
+
+	#host: ReplicaHost | undefined;
+
+	constructor(context: DaemonContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'replication';
+	}
+
+	/** Whether the disk takes writes; true without a disk. */
+	get isReady(): boolean {
+		return this.#host?.isReady ?? true;
+	}
+
+	get hasDisk(): boolean {
+		return this.#host !== undefined;
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		const {settings} = this.#context;
+		const peers = kernel.get<PeersService>('peers');
+		this.#serve(peers);
+		if (!settings.roles.includes('state')) {
+			return;
+		}
+
+		const {timing, limits} = settings;
+		this.#host = await ReplicaHost.open({
+			daemonId: settings.daemonId,
+			folder: settings.dataFolder!,
+			send: (to, batch) => {
+				void this.#deliver(peers, to, batch);
+			},
+			raft: {
+				heartbeatMs: timing.raftHeartbeatMs,
+				electionTimeoutMinMs: timing.electionTimeoutMinMs,
+				electionTimeoutMaxMs: timing.electionTimeoutMaxMs,
+			},
+			snapshotEveryEntries: limits.snapshotEntries,
+			onFatal: (error) => {
+				this.#context.fail(error);
+			},
+			onEvent: (event, fields) => {
+				this.#context.logger.info({event, ...fields});
+			},
+		});
+		await this.#addGroups(this.#host);
+	}
+
+	override async stop() {
+		await this.#host?.stop();
+	}
+
+	/** Gives all leaderships away. */
+	async handOver(): Promise<void> {
+		await this.#host?.drain();
+	}
+
+	onApplied(listener: AppliedListener): void {
+		this.#appliedListeners.add(listener);
+	}
+
+	onLeadershipChange(
+		listener: (groupId: GroupId, leadership: Leadership) => void,
+	): void {
+		this.#host?.onLeadershipChange(listener);
+	}
+
+	leadership(groupId: GroupId): Leadership {
+		return (
+			this.#host?.leadership(groupId) ?? {
+				isLeader: false,
+				leaderId: undefined,
+				term: 0,
+			}
+		);
+	}
+
+	/**
+	 * Makes sure that this replica leads and, once per term, that it has applied everything that
+	 * earlier leaders committed.
+	 *
+	 * @throws NotLeaderError when it does not lead.
+	 */
+	async ensureLeader(groupId: GroupId): Promise<void> {
+		const {isLeader, leaderId, term} = this.leadership(groupId);
+		if (!isLeader) {
+			throw new NotLeaderError(groupId, leaderId);
+		}
+
+		let entry = this.#readyTerms.get(groupId);
+		if (entry?.term !== term) {
+			entry = {term, ready: this.#host!.readBarrier(groupId)};
+			this.#readyTerms.set(groupId, entry);
+		}
+
+		try {
+			await entry.ready;
+		} catch (error) {
+			this.#readyTerms.delete(groupId);
+			throw error;
+		}
+
+		const after = this.leadership(groupId);
+		if (!after.isLeader || after.term !== term) {
+			throw new NotLeaderError(groupId, after.leaderId);
+		}
+	}
+
+	/** Confirms the leadership by a quorum round that begins now. */
+	async readBarrier(groupId: GroupId): Promise<void> {
+		if (!this.#host) {
+			throw new NotLeaderError(groupId);
+		}
+
+		await this.#host.readBarrier(groupId);
+	}
+
+	/** Proposes a command and resolves with its result after the commit. */
+	async propose<Result>(
+		groupId: GroupId,
+		command: ProgramCommand | ConfigurationCommand,
+	): Promise<Result> {
+		if (!this.#host) {
+			throw new NotLeaderError(groupId);
+		}
+
+		const startedMs = performance.now();
+		const {result} = await this.#host.propose(groupId, encodeCommand(command));
+		this.#context.steps.record(performance.now() - startedMs, {
+			step: `commit-${command.type}`,
+		});
+		return result as Result;
+	}
+
+	async readHistory(
+		groupId: GroupId,
+		offset: number,
+		lengthBytes: number,
+	): Promise<string> {
+		const bytes = await this.#host!.readHistory(groupId, offset, lengthBytes);
+		return Buffer.from(bytes).toString('utf8');
+	}
+
+	status() {
+		return this.#host?.status() ?? [];
+	}
+
+	async changeReplicas(groupId: GroupId, change: ReplicaChange): Promise<void> {
+		if (!this.#host) {
+			throw new NotLeaderError(groupId);
+		}
+
+		await this.#host.changeReplicas(groupId, change);
+	}
+
+	#serve(peers: PeersService): void {
+		peers.handle(
+			'replication.deliver',
+			z.object({from: z.string(), batch: z.string()}),
+			async ({from, batch}) => {
+				this.#host?.receive(asId<DaemonId>(from), Buffer.from(batch, 'base64'));
+				return 0;
+			},
+		);
+		peers.handle('replication.status', z.object({}), async () => this.status());
+		peers.handle(
+			'replication.replace',
+			z.object({
+				groupId: z.string(),
+				lostDaemonId: z.string(),
+				newDaemonId: z.string(),
+			}),
+			async ({groupId, lostDaemonId, newDaemonId}) => {
+				await this.changeReplicas(asId<GroupId>(groupId), {
+					type: 'replace',
+					lostDaemonId: asId<DaemonId>(lostDaemonId),
+					newDaemonId: asId<DaemonId>(newDaemonId),
+				});
+				return {groupId};
+			},
+		);
+	}
+
+	async #deliver(peers: PeersService, to: DaemonId, batch: Uint8Array) {
+		try {
+			await peers.call(
+				to,
+				'replication.deliver',
+				{
+					from: this.#context.settings.daemonId,
+					batch: Buffer.from(batch).toString('base64'),
+				},
+				{timeoutMs: 5000, channel: 'control'},
+			);
+		} catch (error) {
+			// The protocol repeats what is lost.
+			this.#context.logger.trace({
+				event: 'replication-message-lost',
+				peer: to,
+				error: messageOf(error),
+			});
+		}
+	}
+
+	async #addGroups(host: ReplicaHost): Promise<void> {
+		const {cluster, limits, timing} = this.#context.settings;
+		const voters = cluster.peers
+			.filter((peer) => peer.state)
+			.map(({daemonId}) => ({daemonId}));
+		for (let shard = 0; shard < cluster.shardCount; shard++) {
+			const machine = new ProgramsMachine(
+				shard,
+				{
+					historySizeBytes: limits.historySizeBytes,
+					tombstoneRetentionMs: timing.endedProgramRetentionMs,
+				},
+				(command, result) => {
+					for (const listener of this.#appliedListeners) {
+						listener(shard, command, result);
+					}
+				},
+			);
+			this.shards.push(machine);
+			await host.addGroup(shardGroup(shard), machine, voters);
+		}
+
+		await host.addGroup(configGroup, this.configuration, voters);
+	}
+}
