Keep the history of an ended program

Cause: the end of a program dropped the history entries that no record refers to, so that GET /v1/programs/<id>/history lost turns.

--- a/packages/programs/src/end-program.ts
+++ b/packages/programs/src/end-program.ts
@@ -4,13 +4,10 @@
 	appendHistory,
 	refuse,
 } from './step-context.ts';
-import {sliceEntries} from './history-entries.ts';
 import {
 	appendRecord,
 	dropOldRecords,
 	hashRequestId,
-	listRecords,
-	packRecords,
 } from './request-records.ts';
 import type {CancelledCall, ProgramResult} from './results.ts';
 import type {Program, ProgramsState} from './state.ts';
@@ -60,28 +57,15 @@
 	];
 };
 
-/** Keeps only the newest records and those of non-idempotent calls, and the entries they refer to. */
+/**
+ * Keeps only the newest records and those of non-idempotent calls. The history stays readable until
+ * the tombstone is dropped.
+ */
 const shrinkToTombstone = (state: ProgramsState, program: Program): void => {
-	const kept = dropOldRecords(
+	program.records = dropOldRecords(
 		program.records,
 		state.limits.recordsPerEndedProgram,
 	);
-	let entries = '';
-	let count = 0;
-	const records = listRecords(kept).map((record) => {
-		if (record.entryIndex === undefined) {
-			return record;
-		}
-
-		entries += sliceEntries(
-			program.entries,
-			record.entryIndex,
-			record.entryIndex + 1,
-		);
-		return {...record, entryIndex: count++};
-	});
-	program.entries = sliceEntries(entries, 0);
-	program.records = packRecords(records);
 };
 
 /** Ends a program: cancels its open call; its holds become pending releases. */
--- a/packages/programs/src/request-records.ts
+++ b/packages/programs/src/request-records.ts
@@ -131,9 +131,3 @@
 		return isPermanent(record) || remaining <= keep;
 	});
 };
-
-/** Packs records again, for example after their entries got new indexes. */
-export const packRecords = (records: StoredRecord[]): string =>
-	Buffer.concat(records.map((record) => encodeRecord(record))).toString(
-		'latin1',
-	);
