--- a/packages/daemon/src/entry/message-codec.ts
+++ b/packages/daemon/src/entry/message-codec.ts
@@ -36,7 +36,9 @@
 		content:
 			typeof message.content === 'string'
 				? message.content
-				: JSON.stringify(message.content ?? ''),
+				: message.content
+					? JSON.stringify(message.content)
+					: '',
 	};
 };
 
