Pass over load reports that are stale

Cause: while reports do not arrive, an engine that was busy at its last report gets hardly any work (3 to 5 open calls against 25 at others), since the router only adds its own records to the frozen report. After 3 s the estimate is now the router's own records times the number of routers. All policies use the same estimate. A cancelled call now leaves its prefix in the stand-in's cache, as engines with a prefix cache do.

--- a/packages/measure/src/engine-stand-in.ts
+++ b/packages/measure/src/engine-stand-in.ts
@@ -69,10 +69,13 @@
 		this.#advance();
 		const cancelled = this.#waiting.filter((call) => matches(call));
 		this.#waiting = this.#waiting.filter((call) => !matches(call));
-		for (const {call} of [...this.#prefilling, ...this.#decoding]) {
+		for (const {call, targetTokens} of [
+			...this.#prefilling,
+			...this.#decoding,
+		]) {
 			if (matches(call)) {
 				cancelled.push(call);
-				this.cache.free(call.promptTokens + call.completionTokens);
+				this.#keepPrefix(call, targetTokens > 0);
 			}
 		}
 
@@ -91,6 +94,15 @@
 		return lost;
 	}
 
+	/** Keeps what a cancelled call had in the cache; the rest of its memory becomes free. */
+	#keepPrefix(call: Call, isDecoding: boolean): void {
+		const keptTokens = isDecoding
+			? call.promptTokens
+			: call.hitTokens + call.importedTokens;
+		this.cache.free(call.promptTokens + call.completionTokens - keptTokens);
+		this.cache.release(call.chainKey, keptTokens, this.#clock.nowMs);
+	}
+
 	#shares(): {prefill: number; decode: number} {
 		if (this.#prefilling.length === 0) {
 			return {prefill: 0, decode: this.#speed};
--- a/packages/measure/src/fleet-view.ts
+++ b/packages/measure/src/fleet-view.ts
@@ -1,25 +1,33 @@
-import type {EngineView} from '@marjoramcove/scheduler';
+import {
+	type EngineView,
+	estimateOpenWork,
+	type OpenWork,
+	type PolicySettings,
+} from '@marjoramcove/scheduler';
 import {asId, type UpstreamId, type ZoneName} from '@marjoramcove/types';
 import type {EngineModel} from './engine-model.ts';
 
-/** Work that is queued or in flight at an engine. */
-export type OpenWork = {
-	calls: number;
-	prefillTokens: number;
-	completionTokens: number;
-};
-
 /** What an engine's report says. */
 export type LoadReport = OpenWork & {
 	cacheUsedTokens: number;
 	relativeSpeed: number;
 };
 
+export type ViewOptions = {
+	engines: number;
+	zones: number;
+	/** Number of routers that send work to the engines. */
+	routers: number;
+	model: EngineModel;
+	settings: PolicySettings;
+};
+
 type Known = {
 	report: LoadReport;
 	/** The router's own open work at the time of the report. */
 	ownAtReport: OpenWork;
 	own: OpenWork;
+	reportedAtMs: number;
 };
 
 const createWork = (): OpenWork => ({
@@ -35,12 +43,18 @@
 export class FleetView {
 	readonly healthy: boolean[];
 	readonly leaving: boolean[];
+	/** Current time, for the age of reports. */
+	nowMs = 0;
+	readonly #routers: number;
+	readonly #settings: PolicySettings;
 	readonly #model: EngineModel;
 	readonly #zones: ZoneName[];
 	readonly #ids: UpstreamId[];
 	readonly #known: Known[];
 
-	constructor(engines: number, zones: number, model: EngineModel) {
+	constructor({engines, zones, routers, model, settings}: ViewOptions) {
+		this.#routers = routers;
+		this.#settings = settings;
 		const positions = Array.from({length: engines}, (_, engine) => engine);
 		this.#model = model;
 		this.#ids = positions.map((engine) => asId<UpstreamId>(`engine-${engine}`));
@@ -53,6 +67,7 @@
 			report: {...createWork(), cacheUsedTokens: 0, relativeSpeed: 1},
 			ownAtReport: createWork(),
 			own: createWork(),
+			reportedAtMs: 0,
 		}));
 	}
 
@@ -80,27 +95,26 @@
 	receiveReport(engine: number, report: LoadReport): () => void {
 		const known = this.#known[engine]!;
 		const ownAtReport = {...known.own};
+		const reportedAtMs = this.nowMs;
 		return () => {
 			known.report = report;
 			known.ownAtReport = ownAtReport;
+			known.reportedAtMs = reportedAtMs;
 		};
 	}
 
-	/** Estimates the open work of an engine; never less than the router's own. */
+	/** What the router expects of an engine now. */
 	estimate(engine: number): OpenWork & LoadReport {
-		const {report, own, ownAtReport} = this.#known[engine]!;
+		const known = this.#known[engine]!;
 		return {
-			...report,
-			calls: Math.max(own.calls, report.calls + own.calls - ownAtReport.calls),
-			prefillTokens: Math.max(
-				own.prefillTokens,
-				report.prefillTokens + own.prefillTokens - ownAtReport.prefillTokens,
-			),
-			completionTokens: Math.max(
-				own.completionTokens,
-				report.completionTokens +
-					own.completionTokens -
-					ownAtReport.completionTokens,
+			...known.report,
+			...estimateOpenWork(
+				{
+					...known,
+					reportAgeMs: this.nowMs - known.reportedAtMs,
+					dispatchers: this.#routers,
+				},
+				this.#settings,
 			),
 		};
 	}
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -1,8 +1,12 @@
-import type {PolicySettings, RandomSource} from '@marjoramcove/scheduler';
+import type {
+	OpenWork,
+	PolicySettings,
+	RandomSource,
+} from '@marjoramcove/scheduler';
 import {DispatchQueue} from './dispatch-queue.ts';
 import type {EngineModel} from './engine-model.ts';
 import {EngineStandIn} from './engine-stand-in.ts';
-import {FleetView, type OpenWork} from './fleet-view.ts';
+import {FleetView} from './fleet-view.ts';
 import type {Policy} from './policy.ts';
 import type {SimCall} from './sim-call.ts';
 import type {VirtualClock} from './virtual-clock.ts';
@@ -47,7 +51,7 @@
 	readonly #expectedPauseMs = new Map<string, number>();
 
 	constructor(clock: VirtualClock, options: FleetOptions) {
-		const {engines, routers, zones, model, policy} = options;
+		const {engines, routers, model, policy} = options;
 		const positions = Array.from({length: engines}, (_, engine) => engine);
 		this.options = options;
 		this.#clock = clock;
@@ -57,10 +61,7 @@
 			completionTokens: 0,
 		}));
 		this.#relativeSpeed = positions.map(() => 1);
-		this.views = Array.from(
-			{length: routers},
-			() => new FleetView(engines, zones, model),
-		);
+		this.views = Array.from({length: routers}, () => new FleetView(options));
 		this.engines = positions.map(
 			(engine) =>
 				new EngineStandIn<SimCall>(clock, model, {
@@ -96,6 +97,7 @@
 		}
 
 		const view = this.views[call.router]!;
+		view.nowMs = this.#clock.nowMs;
 		const expected = this.#expected.get(call.chainKey);
 		const cachedTokens = Math.min(expected?.tokens ?? 0, call.historyTokens);
 		const engine = policy.route({
@@ -137,9 +139,10 @@
 				cacheUsedTokens: cache.usedTokens,
 				relativeSpeed,
 			};
-			const deliveries = this.views.map((view) =>
-				view.receiveReport(engine, report),
-			);
+			const deliveries = this.views.map((view) => {
+				view.nowMs = this.#clock.nowMs;
+				return view.receiveReport(engine, report);
+			});
 			if (!this.reportsStale) {
 				this.#clock.after(REPORT_DELAY_MS, () => {
 					for (const deliver of deliveries) {
--- a/packages/measure/src/sim-call.ts
+++ b/packages/measure/src/sim-call.ts
@@ -1,6 +1,5 @@
-import type {QueuedCall} from '@marjoramcove/scheduler';
+import type {OpenWork, QueuedCall} from '@marjoramcove/scheduler';
 import type {EngineCall} from './engine-stand-in.ts';
-import type {OpenWork} from './fleet-view.ts';
 
 /** A model call on its way through a router, a queue and an engine. */
 export type SimCall = EngineCall & {
--- a/packages/measure/src/simulation.ts
+++ b/packages/measure/src/simulation.ts
@@ -119,6 +119,7 @@
 	#readLoad(router: number, callerId: CallerId): FleetLoad {
 		const {model, policy} = this.#options;
 		const view = this.#fleet.views[router]!;
+		view.nowMs = this.#clock.nowMs;
 		const load: FleetLoad = {
 			engines: 0,
 			slots: 0,
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -12,6 +12,7 @@
 } from './choose-engine.ts';
 export {compareCalls, type OrderContext} from './compare-calls.ts';
 export {decideRetention} from './decide-retention.ts';
+export {estimateOpenWork} from './estimate-open-work.ts';
 export {estimateWorkMs, type WorkTokens} from './estimate-work.ts';
 export {hasRoom} from './has-room.ts';
 export {orderQueue, pickNext} from './pick-next.ts';
--- a/packages/scheduler/src/policy-tuning.ts
+++ b/packages/scheduler/src/policy-tuning.ts
@@ -13,6 +13,7 @@
 	overloadWaitMs: 60_000,
 	admissionCacheShare: 1,
 	transferMsPerToken: 0.005,
+	staleReportMs: 3000,
 	runningCacheShare: 0.6,
 	retentionCacheShare: 0.88,
 };
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -97,6 +97,8 @@
 	admissionCacheShare: number;
 	/** Time to move one token of cache between the engine and host memory. */
 	transferMsPerToken: number;
+	/** Age from which a load report is not used. */
+	staleReportMs: number;
 	/** Share of the cache that calls in flight may take; the rest holds the prefixes of paused programs. */
 	runningCacheShare: number;
 	/** Share of the cache up to which pauses of any length keep their cache. */
@@ -159,6 +161,27 @@
 	exportFreeTokens: number;
 };
 
+/** Work that is queued or in flight at an engine. */
+export type OpenWork = {
+	calls: number;
+	prefillTokens: number;
+	completionTokens: number;
+};
+
+/** Input of `estimateOpenWork`. */
+export type OpenWorkInput = {
+	/** What the engine or its dispatcher reported last. */
+	report: OpenWork;
+	/** Open work of this process at the time at which the report was made. */
+	ownAtReport: OpenWork;
+	/** Open work of this process now. */
+	own: OpenWork;
+	/** Time since the report was made. */
+	reportAgeMs: number;
+	/** Number of processes that send work to the engine. */
+	dispatchers: number;
+};
+
 /** What a dispatcher has in flight at its engine. */
 export type InFlightLoad = {
 	slots: number;
