--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -9,7 +9,7 @@
 import {runFailures} from './run-failures.ts';
 import {runScenario} from './run-scenario.ts';
 import {runTarget, TARGET_COLUMNS} from './run-target.ts';
-import {BARAMYEON, PIATOTHIKI} from './scenarios.ts';
+import {BARAMYEON, PIATOTHIKI, type Scenario} from './scenarios.ts';
 
 const KEY_COLUMNS = ['scenario', 'load', 'policy'];
 const COLUMNS = [
@@ -26,6 +26,8 @@
 	'wastedPrefixShare',
 	'unusedCacheTokenSeconds',
 	'callerSpreadRatio',
+	'callerInTimeShareMin',
+	'callerInTimeShareMax',
 ];
 const FAILURE_COLUMNS = [
 	...KEY_COLUMNS,
@@ -38,6 +40,8 @@
 
 const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
 
+const LEAST_CACHE_TOKENS = 300_000;
+
 type ScenarioName = (typeof SCENARIOS)[number];
 
 const readArguments = () =>
@@ -52,6 +56,14 @@
 			type: 'string',
 			describe: 'Comma-separated names of the policies to run',
 		})
+		.option('cache-tokens', {
+			type: 'number',
+			describe: 'Cache of an engine, to see how much depends on it',
+		})
+		.option('loads', {
+			type: 'string',
+			describe: 'Comma-separated loads to run; all of the scenario when absent',
+		})
 		.option('out', {type: 'string', describe: 'File for the rows as JSON'})
 		.option('plots', {type: 'string', describe: 'Folder for SVG plots'})
 		.option('markdown', {
@@ -59,7 +71,7 @@
 			default: false,
 			describe: 'Print Markdown tables',
 		})
-		.check(({seed, seeds}) => {
+		.check(({seed, seeds, loads, cacheTokens}) => {
 			if (
 				!Number.isSafeInteger(seed) ||
 				!Number.isSafeInteger(seeds) ||
@@ -70,22 +82,48 @@
 				);
 			}
 
+			if (loads?.split(',').some((load) => !(Number(load) > 0))) {
+				throw new Error('--loads must be positive numbers, such as 0.9,1.1.');
+			}
+
+			if (!(Number(cacheTokens ?? LEAST_CACHE_TOKENS) >= LEAST_CACHE_TOKENS)) {
+				throw new Error(
+					`--cache-tokens must be at least ${LEAST_CACHE_TOKENS}, so that any program fits.`,
+				);
+			}
+
 			return true;
 		})
 		.strict()
 		.parseSync();
 
-const runSeed = (
-	name: ScenarioName,
-	options: {seed: number; policies?: readonly string[]},
-): Row[] => {
+type SeedOptions = {
+	seed: number;
+	policies?: readonly string[];
+	loads?: number[];
+	cacheTokens?: number;
+};
+
+const adaptScenario = (
+	scenario: Scenario,
+	{loads = scenario.loads, cacheTokens}: SeedOptions,
+): Scenario => ({
+	...scenario,
+	loads,
+	model: {
+		...scenario.model,
+		cacheCapacityTokens: cacheTokens ?? scenario.model.cacheCapacityTokens,
+	},
+});
+
+const runSeed = (name: ScenarioName, options: SeedOptions): Row[] => {
 	switch (name) {
 		case 'baramyeon': {
-			return runScenario(BARAMYEON, options);
+			return runScenario(adaptScenario(BARAMYEON, options), options);
 		}
 
 		case 'piatothiki': {
-			return runScenario(PIATOTHIKI, options);
+			return runScenario(adaptScenario(PIATOTHIKI, options), options);
 		}
 
 		case 'failures': {
@@ -116,13 +154,18 @@
 };
 
 const main = (): void => {
-	const {seed, seeds, policies, out, plots, markdown, ...rest} =
-		readArguments();
+	const {seed, seeds, policies, loads, cacheTokens, ...rest} = readArguments();
+	const {out, plots, markdown} = rest;
 	const name = rest.scenario as ScenarioName;
 	const rows: Row[] = [];
 	for (let offset = 0; offset < seeds; offset++) {
 		rows.push(
-			...runSeed(name, {seed: seed + offset, policies: policies?.split(',')}),
+			...runSeed(name, {
+				seed: seed + offset,
+				policies: policies?.split(','),
+				loads: loads?.split(',').map(Number),
+				cacheTokens,
+			}),
 		);
 	}
 
--- a/packages/measure/src/engine-model.ts
+++ b/packages/measure/src/engine-model.ts
@@ -15,6 +15,8 @@
 	hostCapacityTokens: number;
 	/** Time to move one token of cache between the engine and host memory. */
 	transferMsPerToken: number;
+	/** Every prefix counts as cached; only for a bound that no policy can reach. */
+	perfectCache?: boolean;
 };
 
 /** A mid-sized model on a server of 4 accelerators. */
--- a/packages/measure/src/engine-stand-in.ts
+++ b/packages/measure/src/engine-stand-in.ts
@@ -149,6 +149,11 @@
 
 			this.#waiting.shift();
 			Object.assign(call, reserved);
+			if (this.model.perfectCache) {
+				call.hitTokens = call.historyTokens;
+				call.importedTokens = 0;
+			}
+
 			const computed = call.promptTokens - call.hitTokens - call.importedTokens;
 			const prefillMs =
 				computed * prefillMsPerToken + call.importedTokens * transferMsPerToken;
--- a/packages/measure/src/figures.ts
+++ b/packages/measure/src/figures.ts
@@ -17,6 +17,9 @@
 	wastedPrefixShare: number;
 	unusedCacheTokenSeconds: number;
 	callerSpreadRatio: number | null;
+	/** Smallest and largest share of the programs of a caller that finished in time. */
+	callerInTimeShareMin: number | null;
+	callerInTimeShareMax: number | null;
 	goodputProgramsPerMinute: number;
 	refusedByReason: Record<string, number>;
 };
@@ -64,6 +67,21 @@
 	return means.length === 0 ? null : Math.max(...means) / Math.min(...means);
 };
 
+/** Shares of the programs of each caller that finished in time; refused programs count as late. */
+const readInTimeShares = (records: ProgramRecord[]): number[] => {
+	const outcomes = new Map<number, number[]>();
+	for (const {plan, finishedAtMs} of records) {
+		const inTime =
+			finishedAtMs !== undefined && finishedAtMs <= plan.deadlineMs ? 1 : 0;
+		outcomes.set(plan.caller, [...(outcomes.get(plan.caller) ?? []), inTime]);
+	}
+
+	return [...outcomes.values()]
+		.filter((values) => values.length >= LEAST_PROGRAMS_PER_CALLER)
+		.map((values) => readMean(values)!)
+		.sort((left, right) => left - right);
+};
+
 const countReasons = (records: ProgramRecord[]): Record<string, number> => {
 	const counts: Record<string, number> = {};
 	for (const {refusedReason} of records) {
@@ -90,6 +108,7 @@
 		.sort(byValue);
 	const all = records.map((record) => readLatencyMs(record)).sort(byValue);
 	const lowerBounds = records.map(({plan}) => plan.lowerBoundMs).sort(byValue);
+	const inTimeShares = readInTimeShares(records);
 	const p95WithRefusedMs = readQuantile(all, 0.95);
 	return {
 		programs: records.length,
@@ -111,6 +130,8 @@
 		wastedPrefixShare: run.wastedTokens / Math.max(1, run.promptTokens),
 		unusedCacheTokenSeconds: run.unusedCacheTokenSeconds,
 		callerSpreadRatio: readCallerSpread(finished),
+		callerInTimeShareMin: inTimeShares[0] ?? null,
+		callerInTimeShareMax: inTimeShares.at(-1) ?? null,
 		goodputProgramsPerMinute: inTime.length / (measuredMs / 60_000),
 		refusedByReason: countReasons(records),
 	};
--- a/packages/measure/src/run-scenario.ts
+++ b/packages/measure/src/run-scenario.ts
@@ -48,6 +48,25 @@
 		measuredMs,
 	);
 
+/** Exact counts, and every prefix cached on every engine: what balancing alone could reach. */
+const runPerfectCache = (
+	scenario: Scenario,
+	programs: ProgramPlan[],
+	seed: number,
+): Figures =>
+	computeFigures(
+		runPolicy(
+			{
+				...scenario,
+				routers: 1,
+				model: {...scenario.model, perfectCache: true},
+			},
+			programs,
+			{policy: new LeastInFlight(), seed},
+		),
+		scenario.arrivals.measuredMs,
+	);
+
 export type RunOptions = {
 	seed: number;
 	/** Runs only the policies whose name is in the list; all when absent. */
@@ -65,6 +84,8 @@
 		const key = {scenario: name, load, seed};
 		const bound = computeLowerBound(programs, arrivals.measuredMs);
 		const rows = [toRow({...key, policy: 'lower-bound'}, bound)];
+		const perfect = runPerfectCache(scenario, programs, seed);
+		rows.push(toRow({...key, policy: 'perfect-cache'}, perfect));
 		for (const policy of createAllPolicies(scenario, load)) {
 			if (!policies || policies.includes(policy.name)) {
 				const run = runPolicy(scenario, programs, {policy, seed});
