Follow a request by polling its outcome

The daemon answers GET /v1/programs/<id>/requests/<requestId> with JSON and not with a stream, so program follow polls while the call is open and reports a recorded failure with its verdict.

--- a/packages/cli/src/commands/list.ts
+++ b/packages/cli/src/commands/list.ts
@@ -21,6 +21,14 @@
 
 type Row = Record<string, unknown>;
 
+const describeState = ({leaving, healthy}: Row): string => {
+	if (leaving) {
+		return 'leaving';
+	}
+
+	return healthy === false ? 'unhealthy' : 'ready';
+};
+
 const columns: Record<ListTarget, Array<Column<Row>>> = {
 	programs: [
 		['PROGRAM', (row) => row.programId],
@@ -33,18 +41,18 @@
 		['ENGINE', (row) => row.name],
 		['ZONE', (row) => row.zone],
 		['ADDRESS', (row) => row.address],
-		['MODELS', (row) => row.models],
-		['STATE', (row) => row.state],
+		['LABELS', (row) => row.labels],
+		['SLOTS', (row) => row.slots],
+		['STATE', describeState],
 		['DISPATCHER', (row) => row.dispatcherId],
-		['IN FLIGHT', (row) => row.inFlight],
-		['QUEUED', (row) => row.queued],
 	],
 	upstreams: [
 		['UPSTREAM', (row) => row.name],
 		['TYPE', (row) => row.type],
 		['ZONE', (row) => row.zone],
 		['ADDRESS', (row) => row.address],
-		['STATE', (row) => row.state],
+		['LABELS', (row) => row.labels],
+		['STATE', describeState],
 		['DISPATCHER', (row) => row.dispatcherId],
 	],
 	daemons: [
--- a/packages/cli/src/commands/program.ts
+++ b/packages/cli/src/commands/program.ts
@@ -1,5 +1,8 @@
 import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {MarjoramcoveError, ValidationError} from '@marjoramcove/errors';
+import type {Verdict} from '@marjoramcove/types';
+import type {ApiClient} from '../api-client.ts';
 import {
 	type CommandContext,
 	type CommonArguments,
@@ -169,7 +172,31 @@
 	writeResult(context, argv, answer, () => `${JSON.stringify(answer)}\n`);
 };
 
-/** Shows the answer of a call that is under way or done. */
+type RequestAnswer = Record<string, unknown> & {
+	status: 'open' | 'answered' | 'failed';
+	answer?: string;
+	reason?: string;
+	message?: string;
+	verdict?: Verdict;
+};
+
+const FOLLOW_POLL_MS = 300;
+
+const readSettled = async (
+	client: ApiClient,
+	path: string,
+): Promise<RequestAnswer> => {
+	for (;;) {
+		const answer = await client.read<RequestAnswer>(path);
+		if (answer.status !== 'open') {
+			return answer;
+		}
+
+		await sleep(FOLLOW_POLL_MS);
+	}
+};
+
+/** Waits for the outcome of a call and shows it; each call ends by its own time limit. */
 export const followRequest = async (
 	context: CommandContext,
 	argv: CommonArguments & {id: string; request: string},
@@ -178,15 +205,23 @@
 		context.output,
 		() => `waiting for request ${argv.request} of program ${argv.id}`,
 		async () =>
-			streamAnswer(context, createClient(context, argv), {
-				method: 'GET',
-				path: `/v1/programs/${encodeURIComponent(argv.id)}/requests/${encodeURIComponent(argv.request)}`,
-				showWhileArriving: argv.output !== 'json',
-			}),
+			readSettled(
+				createClient(context, argv),
+				`/v1/programs/${encodeURIComponent(argv.id)}/requests/${encodeURIComponent(argv.request)}`,
+			),
 	);
-	if (argv.output === 'json') {
-		writeResult(context, argv, {requestId: argv.request, ...answer}, () => '');
+	if (answer.status === 'failed') {
+		throw new MarjoramcoveError(
+			answer.message ?? `The request ${argv.request} failed.`,
+			{
+				reason: answer.reason ?? 'call-failed',
+				verdict: answer.verdict ?? 'may-have-run',
+				hint: 'This outcome is recorded and final.',
+			},
+		);
 	}
+
+	writeResult(context, argv, answer, () => `${answer.answer ?? ''}\n`);
 };
 
 /** Ends a program. */
--- a/packages/cli/src/run-cli.test.ts
+++ b/packages/cli/src/run-cli.test.ts
@@ -320,6 +320,36 @@
 		});
 	});
 
+	describe('program follow', () => {
+		it('waits while the call is open and reports its recorded failure', async () => {
+			let reads = 0;
+			const address = await serve((_request, response) => {
+				reads++;
+				answerJson(
+					response,
+					reads < 2
+						? {status: 'open'}
+						: {
+								status: 'failed',
+								reason: 'tool-timeout',
+								verdict: 'may-have-run',
+								message: 'No answer in time.',
+							},
+				);
+			});
+			const {code, err} = await run([
+				'program',
+				'follow',
+				'p0-a',
+				'r1',
+				'--address',
+				address,
+			]);
+			expect(code).toBe(5);
+			expect(err).toContain('No answer in time. [tool-timeout]');
+		});
+	});
+
 	describe('json output', () => {
 		it('writes errors as JSON', async () => {
 			const address = await serve((_request, response) => {
