Carry the time of a shard over a change of owner

Cause: commands carried the wall clock of the owner, so an owner whose clock is an hour ahead expired every program at once, and a sub-agent's deadline was compared across two shards. Ruled out: the median of the wall clocks of a quorum, because it needs another message and still moves when a majority is skewed; the wall clock with a bound, because a bound cannot tell skew from an outage. Conclusion: the replicated time plus the own monotonic clock is the time of the next command. Time while no replica runs is not counted.

--- a/packages/daemon/src/entry/entry-core.ts
+++ b/packages/daemon/src/entry/entry-core.ts
@@ -101,24 +101,21 @@
 		const budget = {...settings.defaultBudget, ...request.budget};
 		const parentId =
 			request.parent === undefined ? undefined : this.programId(request.parent);
+		// The carved budget carries the time that the parent has left; deadlines of two shards cannot be compared.
 		const carved = parentId
-			? await this.owner<{budget: ProgramBudget; deadlineMs: number}>(
-					parentId,
-					'programs.carve',
-					{programId: parentId, childId: programId, budget},
-				)
+			? await this.owner<{budget: ProgramBudget}>(parentId, 'programs.carve', {
+					programId: parentId,
+					childId: programId,
+					budget,
+				})
 			: undefined;
-		const deadlineMs = Math.min(
-			request.deadlineMs ?? Number.MAX_SAFE_INTEGER,
-			carved?.deadlineMs ?? Number.MAX_SAFE_INTEGER,
-		);
 		return this.owner<OpenedProgram>(programId, 'programs.open', {
 			programId,
 			callerId: request.callerId,
 			labels: request.labels,
 			budget: carved?.budget ?? budget,
 			...(parentId && {parentId}),
-			...(deadlineMs < Number.MAX_SAFE_INTEGER && {deadlineMs}),
+			...(request.deadlineMs !== undefined && {deadlineMs: request.deadlineMs}),
 			operationId,
 		});
 	}
--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -13,7 +13,6 @@
 import type {AcceptInput, CallState, Grant} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
 import {
-	commandTimeMs,
 	type OwnerCore,
 	refusedByMachine,
 	unknownProgram,
@@ -314,7 +313,7 @@
 		const {programId, requestId, bodyHash, kind, expectedTurn} = input;
 		return {
 			type: 'accept-call' as const,
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(programId),
 			programId,
 			requestId,
 			bodyHash,
@@ -372,7 +371,12 @@
 			upstreamId: call.upstreamId,
 			dispatcherId: call.dispatcherId,
 			dispatcherIncarnation: call.dispatcherIncarnation,
-			timeoutMs: Math.max(0, call.attemptAtMs + call.timeoutMs - Date.now()),
+			timeoutMs: Math.max(
+				0,
+				call.attemptAtMs +
+					call.timeoutMs -
+					this.#core.commandTimeMs(input.programId),
+			),
 			maxTokens: Math.max(1, call.reservedTokens - promptTokens),
 			promptTokens,
 			cachedTokens: Math.min(promptTokens, program.cachedTokens),
--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -13,7 +13,7 @@
 } from '../call-contracts.ts';
 import {messageOf, reasonOf, refusal} from '../daemon-context.ts';
 import {type CallAccepter, estimatePromptTokens} from './call-accepter.ts';
-import {commandTimeMs, type OwnerCore} from './owner-core.ts';
+import {type OwnerCore} from './owner-core.ts';
 import {type Outstanding, routeCall} from './route-call.ts';
 
 /** What is known of the attempt at its dispatcher. */
@@ -149,7 +149,7 @@
 		});
 		const result = await this.#core.propose(input.programId, {
 			type: 'retry-call',
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(input.programId),
 			programId: input.programId,
 			requestId: input.requestId,
 			lostAttempt: call.intent.attempt,
@@ -237,7 +237,7 @@
 		this.#core.context.refusals.increment({reason: outcome.reason});
 		await this.#core.commit(call.programId, {
 			type: 'settle-call',
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(call.programId),
 			programId: call.programId,
 			requestId: call.requestId,
 			attempt: call.intent.attempt,
--- /dev/null
+++ b/packages/daemon/src/owner/command-clock.test.ts
@@ -0,0 +1,34 @@
+import {describe, expect, it} from 'vitest';
+import {CommandClock} from './command-clock.ts';
+
+const createClock = (wallMs: number) => {
+	const time = {monotonicMs: 0};
+	const clock = new CommandClock(
+		() => time.monotonicMs,
+		() => wallMs,
+	);
+	return {clock, time};
+};
+
+describe('CommandClock', () => {
+	describe('nowMs', () => {
+		it('starts a shard with the wall clock', () => {
+			expect(createClock(1_000_000).clock.nowMs()).toBe(1_000_000);
+		});
+
+		it('carries the replicated time on by the monotonic clock, so that a new owner whose wall clock is an hour ahead expires nothing', () => {
+			const {clock, time} = createClock(1_000_000 + 3_600_000);
+			clock.noteApplied(1_000_000);
+			time.monotonicMs = 250;
+			expect(clock.nowMs()).toBe(1_000_250);
+		});
+
+		it('does not go back when an older command is applied', () => {
+			const {clock, time} = createClock(0);
+			clock.noteApplied(5000);
+			time.monotonicMs = 100;
+			clock.noteApplied(5050);
+			expect(clock.nowMs()).toBe(5100);
+		});
+	});
+});
--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -101,6 +101,16 @@
 		return program;
 	}
 
+	/** Time for a command of a program, in whole milliseconds of the clock of its shard. */
+	commandTimeMs(programId: ProgramId): number {
+		return this.shardTimeMs(programOfShard(programId));
+	}
+
+	/** Time of a shard; see {@link CommandClock}. */
+	shardTimeMs(shard: number): number {
+		return this.replication.shards[shard]!.clock.nowMs();
+	}
+
 	/** Proposes a command of a program; a refusal is returned like any result. */
 	async propose(
 		programId: ProgramId,
@@ -152,6 +162,3 @@
 		result.message,
 		hints[result.reason] ?? 'Correct the request.',
 	);
-
-/** Time of a command, in whole milliseconds of the wall clock. */
-export const commandTimeMs = (): number => Date.now();
--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -14,13 +14,15 @@
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {shardGroup} from '../services/replication-service.ts';
 import type {CallRecovery} from './call-recovery.ts';
-import {commandTimeMs, type OwnerCore} from './owner-core.ts';
+import {type OwnerCore} from './owner-core.ts';
 
 /** Age from which an open call without progress reports is checked at its dispatcher. */
 const checkAfterMs = 3000;
 /** Age from which a carved budget without a sub-agent is given back. */
 const carveCheckMs = 30_000;
 const releaseTimeoutMs = 2000;
+/** Longest time for which the log of a shard with programs carries no new time. */
+const clockEntryIntervalMs = 60_000;
 const longestReleaseDelayMs = 10_000;
 
 type ReleaseAttempt = {count: number; nextMs: number};
@@ -148,9 +150,11 @@
 
 	/** Proposes an expiry only when something is due, so that idle shards write no log. */
 	async #expire(state: ProgramsState, shard: number): Promise<void> {
-		const nowMs = commandTimeMs();
+		const nowMs = this.#core.shardTimeMs(shard);
 		const {callGraceMs, tombstoneRetentionMs} = state.limits;
-		let isDue = false;
+		// A replica that restarts learns the time from the log, so the log must not stand still for long.
+		let isDue =
+			state.programs.size > 0 && nowMs - state.clockMs >= clockEntryIntervalMs;
 		for (const {
 			call,
 			endedAtMs,
@@ -180,7 +184,7 @@
 	}
 
 	async #checkIntents(state: ProgramsState): Promise<void> {
-		const nowMs = commandTimeMs();
+		const nowMs = this.#core.shardTimeMs(state.shard);
 		const {members, hasLease} = this.#core.configuration;
 		const suspects = openIntents(state).filter((call) => {
 			const key = attemptKey({...call, attempt: call.intent.attempt});
@@ -253,7 +257,7 @@
 			await this.deleteMemory(programId, upstreamId);
 			await this.#core.commit(programId, {
 				type: 'record-release',
-				nowMs: commandTimeMs(),
+				nowMs: this.#core.commandTimeMs(programId),
 				programId,
 				upstreamId,
 				heldTurn,
@@ -283,7 +287,7 @@
 			);
 			await this.#core.commit(pending.childId, {
 				type: 'record-return',
-				nowMs: commandTimeMs(),
+				nowMs: this.#core.commandTimeMs(pending.childId),
 				programId: pending.childId,
 			});
 		}
--- a/packages/daemon/src/owner/program-registry.ts
+++ b/packages/daemon/src/owner/program-registry.ts
@@ -9,7 +9,7 @@
 import {programIdSchema} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
 import type {CallAccepter} from './call-accepter.ts';
-import {commandTimeMs, type OwnerCore, unknownProgram} from './owner-core.ts';
+import {type OwnerCore, unknownProgram} from './owner-core.ts';
 
 const budgetSchema = z.object({
 	tokens: z.int().min(0),
@@ -61,7 +61,7 @@
 
 		const result = await this.#core.commit(input.programId, {
 			type: 'open-program',
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(input.programId),
 			...input,
 			budget,
 		});
@@ -81,7 +81,7 @@
 		await this.#core.openProgram(input.programId);
 		const result = await this.#core.commit(input.programId, {
 			type: 'carve-budget',
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(input.programId),
 			...input,
 		});
 		if (result.outcome !== 'carved') {
@@ -99,7 +99,7 @@
 		await this.#core.lead(programId);
 		const result = await this.#core.commit(programId, {
 			type: 'end-program',
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(programId),
 			programId,
 			reason,
 		});
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -17,7 +17,7 @@
 import type {DaemonContext} from '../daemon-context.ts';
 import {CallAccepter} from '../owner/call-accepter.ts';
 import {CallRecovery} from '../owner/call-recovery.ts';
-import {commandTimeMs, OwnerCore} from '../owner/owner-core.ts';
+import {OwnerCore} from '../owner/owner-core.ts';
 import {OwnerSweeps} from '../owner/owner-sweeps.ts';
 import {ProgramGates} from '../owner/program-gates.ts';
 import {
@@ -152,7 +152,7 @@
 			await this.#core.lead(input.programId);
 			return this.#core.commit(input.programId, {
 				type: 'settle-call',
-				nowMs: commandTimeMs(),
+				nowMs: this.#core.commandTimeMs(input.programId),
 				...input,
 			});
 		});
@@ -225,7 +225,7 @@
 				await this.#core.lead(input.programId);
 				return this.#core.commit(input.programId, {
 					type: 'return-budget',
-					nowMs: commandTimeMs(),
+					nowMs: this.#core.commandTimeMs(input.programId),
 					...input,
 				});
 			},
@@ -244,7 +244,7 @@
 				if (!child && isOld) {
 					await this.#core.commit(programId, {
 						type: 'abandon-program',
-						nowMs: commandTimeMs(),
+						nowMs: this.#core.commandTimeMs(programId),
 						programId,
 						parentId,
 					});
@@ -281,7 +281,7 @@
 			await this.#sweeps.deleteMemory(programId, hold.upstreamId);
 			await this.#core.commit(programId, {
 				type: 'record-release',
-				nowMs: commandTimeMs(),
+				nowMs: this.#core.commandTimeMs(programId),
 				programId,
 				upstreamId: hold.upstreamId,
 				heldTurn: hold.heldTurn,
--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -22,6 +22,7 @@
 	type ProgramsState,
 	stepPrograms,
 } from '@marjoramcove/programs';
+import {CommandClock} from '../owner/command-clock.ts';
 
 /** Encodes a command for the replicated log. */
 export const encodeCommand = (
@@ -56,6 +57,7 @@
 /** Replicated programs of one shard. */
 export class ProgramsMachine extends StateMachine {
 	state: ProgramsState;
+	readonly clock = new CommandClock();
 	readonly #limits: Partial<ProgramLimits>;
 	readonly #onApplied: (command: ProgramCommand, result: ProgramResult) => void;
 
@@ -74,6 +76,7 @@
 		const command = decodeCommand<ProgramCommand>(bytes);
 		const {state, result, appended} = stepPrograms(this.state, command);
 		this.state = state;
+		this.clock.noteApplied(state.clockMs);
 		this.#onApplied(command, result);
 		return {result, appended: appended.map((text) => encodeHistoryText(text))};
 	}
@@ -85,5 +88,6 @@
 	override restoreSnapshot(bytes: Uint8Array): void {
 		this.state = decodePrograms(bytes);
 		Object.assign(this.state.limits, this.#limits);
+		this.clock.noteApplied(this.state.clockMs);
 	}
 }
