--- a/packages/daemon/src/call-contracts.ts
+++ b/packages/daemon/src/call-contracts.ts
@@ -63,6 +63,8 @@
 	dispatcherIncarnation: IncarnationId;
 	/** Time that is left for the call when the grant is sent. */
 	timeoutMs: number;
+	/** Reason with which the call ends when its time is over. */
+	timeoutReason: 'call-timeout' | 'tool-timeout' | 'wall-time-limit';
 	maxTokens: number;
 	promptTokens: number;
 	cachedTokens: number;
@@ -126,9 +128,12 @@
 });
 export type AttemptName = z.output<typeof attemptSchema>;
 
-/** Key of an attempt in maps, and id of its stream at the engine. */
+/**
+ * Key of an attempt in maps, and id of its stream at the engine. The separator needs no encoding in a
+ * path, because engines may compare the id without decoding it.
+ */
 export const attemptKey = (name: {
 	programId: string;
 	requestId: string;
 	attempt: number;
-}): string => `${name.programId}:${name.requestId}:${name.attempt}`;
+}): string => `${name.programId}~${name.requestId}~${name.attempt}`;
--- a/packages/daemon/src/dispatcher/run-tool-call.ts
+++ b/packages/daemon/src/dispatcher/run-tool-call.ts
@@ -96,7 +96,7 @@
 		if (timeout.aborted) {
 			return failed(
 				isUnsent(error) ? 'not-run' : 'may-have-run',
-				'tool-timeout',
+				grant.timeoutReason,
 				`The operation ${operation} did not answer within its time.`,
 			);
 		}
--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -32,6 +32,18 @@
 			bytesPerToken,
 	);
 
+/** Limit that ends the call: its own time, or the wall time of its program. */
+const timeoutReasonOf = (
+	call: OpenCallDescription,
+	{deadlineMs}: ProgramDescription,
+): Grant['timeoutReason'] => {
+	if (call.attemptAtMs + call.timeoutMs >= deadlineMs) {
+		return 'wall-time-limit';
+	}
+
+	return call.kind === 'tool' ? 'tool-timeout' : 'call-timeout';
+};
+
 /** Accepts calls: order, selectors, budget, route and the commit of the intent. */
 export class CallAccepter {
 	readonly #core: OwnerCore;
@@ -373,6 +385,7 @@
 			dispatcherId: call.dispatcherId,
 			dispatcherIncarnation: call.dispatcherIncarnation,
 			timeoutMs: Math.max(0, call.attemptAtMs + call.timeoutMs - Date.now()),
+			timeoutReason: timeoutReasonOf(call, program),
 			maxTokens: Math.max(1, call.reservedTokens - promptTokens),
 			promptTokens,
 			cachedTokens: Math.min(promptTokens, program.cachedTokens),
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -295,10 +295,7 @@
 		// The wait may have been long, or the process frozen: everything is checked again before sending.
 		const nowMs = performance.now();
 		if (nowMs >= run.deadlineMs) {
-			await this.#giveBack(
-				run,
-				run.grant.kind === 'tool' ? 'tool-timeout' : 'call-timeout',
-			);
+			await this.#giveBack(run, run.grant.timeoutReason);
 			return undefined;
 		}
 
@@ -384,7 +381,7 @@
 				outcome: {
 					status: 'failed',
 					verdict: 'may-have-run',
-					reason: run.grant.kind === 'tool' ? 'tool-timeout' : 'call-timeout',
+					reason: run.grant.timeoutReason,
 					message: 'The call did not end within its time.',
 				},
 				content: '',
