--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -31,6 +31,18 @@
 			bytesPerToken,
 	);
 
+/** Limit that ends the call: its own time, or the wall time of its program. */
+const timeoutReasonOf = (
+	call: OpenCallDescription,
+	{deadlineMs}: ProgramDescription,
+): Grant['timeoutReason'] => {
+	if (call.attemptAtMs + call.timeoutMs >= deadlineMs) {
+		return 'wall-time-limit';
+	}
+
+	return call.kind === 'tool' ? 'tool-timeout' : 'call-timeout';
+};
+
 /** Accepts calls: order, selectors, budget, route and the commit of the intent. */
 export class CallAccepter {
 	readonly #core: OwnerCore;
@@ -377,6 +389,7 @@
 					call.timeoutMs -
 					this.#core.commandTimeMs(input.programId),
 			),
+			timeoutReason: timeoutReasonOf(call, program),
 			maxTokens: Math.max(1, call.reservedTokens - promptTokens),
 			promptTokens,
 			cachedTokens: Math.min(promptTokens, program.cachedTokens),
