Refuse late grants of closed attempts after any freeze

Cause: found by reading. A dispatcher forgot discarded attempts after 600 s of monotonic time, which goes on while the process is frozen; a grant that waited in a socket buffer over the freeze would then have run although its call was settled as not run. A discard request for an attempt that was sent, lost and forgotten was also confirmed. A pooled connection that the service closes at the same moment made the outcome of a non-idempotent call unknown. Ruled out: asking the owner before each non-idempotent call, which costs one more hop and quorum round on the path of every such call. Conclusion: retention counts awake time and exceeds the longest operation timeout, which is now limited to one hour; idempotent attempts are kept 60 s.

--- a/packages/configuration/src/schemas.ts
+++ b/packages/configuration/src/schemas.ts
@@ -52,7 +52,10 @@
 	checksFencing: z.boolean(),
 	operations: z.record(
 		name,
-		z.strictObject({idempotent: z.boolean(), timeoutMs: z.int().min(1)}),
+		z.strictObject({
+			idempotent: z.boolean(),
+			timeoutMs: z.int().min(1).max(3_600_000),
+		}),
 	),
 });
 
--- /dev/null
+++ b/packages/daemon/src/dispatcher/memory-reconciler.ts
@@ -0,0 +1,79 @@
+import type {UpstreamResource} from '@marjoramcove/configuration';
+import {planReleases} from '@marjoramcove/engine-control';
+import {programOfShard} from '@marjoramcove/programs';
+import type {ProgramId} from '@marjoramcove/types';
+import {type Dispatcher, request} from 'undici';
+import type {GroupClientService} from '../services/group-client-service.ts';
+import {shardGroup} from '../services/replication-service.ts';
+
+const engineTimeoutMs = 2000;
+const ownerTimeoutMs = 3000;
+
+/** Programs of the list that have ended or are unknown, by the owners of their shards. */
+const findDead = async (
+	programIds: ProgramId[],
+	groups: GroupClientService,
+	shardCount: number,
+): Promise<Set<ProgramId>> => {
+	const dead = new Set<ProgramId>();
+	for (let shard = 0; shard < shardCount; shard++) {
+		const ids = programIds.filter((id) => programOfShard(id) === shard);
+		if (ids.length === 0) {
+			continue;
+		}
+
+		const found = await groups.call<ProgramId[]>(
+			shardGroup(shard),
+			'programs.findDead',
+			{programIds: ids},
+			{timeoutMs: ownerTimeoutMs},
+		);
+		for (const programId of found) {
+			dead.add(programId);
+		}
+	}
+
+	return dead;
+};
+
+/**
+ * Compares the engine's own list of held programs with the records of their owners and releases the
+ * memory of programs that have ended or are unknown. The engine's events are late and have gaps, so
+ * the list is the only complete source.
+ *
+ * @throws Error when the engine or an owner does not answer; the next run tries again.
+ */
+export const reconcileEngineMemory = async ({
+	engine,
+	dispatcher,
+	groups,
+	shardCount,
+}: {
+	engine: UpstreamResource;
+	dispatcher: Dispatcher;
+	groups: GroupClientService;
+	shardCount: number;
+}): Promise<void> => {
+	const {address} = engine.spec;
+	const options = {
+		dispatcher,
+		headersTimeout: engineTimeoutMs,
+		bodyTimeout: engineTimeoutMs,
+	};
+	const {body} = await request(`${address}/v1/kv`, options);
+	const {programs} = (await body.json()) as {
+		programs: Array<{programId: ProgramId; tokens: number}>;
+	};
+	const dead = await findDead(
+		programs.map(({programId}) => programId),
+		groups,
+		shardCount,
+	);
+	for (const programId of planReleases(programs, (id) => !dead.has(id))) {
+		const answer = await request(
+			`${address}/v1/kv/${encodeURIComponent(programId)}`,
+			{...options, method: 'DELETE'},
+		);
+		await answer.body.dump();
+	}
+};
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -1,10 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamResource} from '@marjoramcove/configuration';
-import {planReleases} from '@marjoramcove/engine-control';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {type ProgramResult, programOfShard} from '@marjoramcove/programs';
-import type {ProgramId, UpstreamId} from '@marjoramcove/types';
-import {Agent, request} from 'undici';
+import type {UpstreamId} from '@marjoramcove/types';
+import {Agent} from 'undici';
 import {z} from 'zod';
 import {
 	attemptKey,
@@ -21,7 +20,9 @@
 	refusal,
 } from '../daemon-context.ts';
 import {type AttemptResult, CallRun} from '../dispatcher/call-run.ts';
+import {ClosedAttempts} from '../dispatcher/closed-attempts.ts';
 import {EngineQueue} from '../dispatcher/engine-queue.ts';
+import {reconcileEngineMemory} from '../dispatcher/memory-reconciler.ts';
 import {
 	cancelStream,
 	messageMarker,
@@ -43,22 +44,24 @@
 
 /** Time for which a finished run is kept for readers that attach late. */
 const keepFinishedMs = 60_000;
-/** Time for which a discarded or finished attempt is refused when its grant arrives late. */
-const keepKeysMs = 600_000;
+const sweepIntervalMs = 5000;
+const connectTimeoutMs = 2000;
 const settleGraceMs = 20_000;
 
 /** Queues calls per upstream, sends each granted attempt once, streams and settles it. */
 export class DispatcherService extends Service {
 	readonly #context: DaemonContext;
 	readonly #runs = new Map<string, CallRun>();
-	/** Attempts that must not start any more, with the time at which they can be forgotten. */
-	readonly #closed = new Map<
-		string,
-		{status: AttemptStatus; untilMs: number}
-	>();
+	readonly #closed = new ClosedAttempts(sweepIntervalMs);
 
 	readonly #queues = new Map<UpstreamId, EngineQueue>();
 	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
+	/** Closes each connection after one call; see {@link runToolCall}. */
+	readonly #singleUseAgent = new Agent({
+		pipelining: 1,
+		connect: {timeout: connectTimeoutMs},
+	});
+
 	#configuration!: ConfigurationService;
 	#upstreams!: UpstreamsService;
 	#groups!: GroupClientService;
@@ -81,7 +84,7 @@
 		this.#timers = [
 			setInterval(() => {
 				this.#forgetOld();
-			}, 5000),
+			}, sweepIntervalMs),
 			setInterval(() => {
 				void this.#reconcileMemory();
 			}, this.#context.settings.timing.memoryReconcileMs),
@@ -94,9 +97,10 @@
 			clearInterval(timer);
 		}
 
-		await Promise.all(
-			[...this.#agents.values()].map(async ({agent}) => agent.destroy()),
-		);
+		await Promise.all([
+			this.#singleUseAgent.destroy(),
+			...[...this.#agents.values()].map(async ({agent}) => agent.destroy()),
+		]);
 	}
 
 	/** Waits until all accepted attempts have settled. */
@@ -145,7 +149,7 @@
 	#statusOf(attempt: AttemptName): AttemptStatus {
 		const key = attemptKey(attempt);
 		return (
-			this.#runs.get(key)?.status ?? this.#closed.get(key)?.status ?? 'unknown'
+			this.#runs.get(key)?.status ?? this.#closed.statusOf(key) ?? 'unknown'
 		);
 	}
 
@@ -157,11 +161,12 @@
 
 		const key = attemptKey(attempt);
 		const run = this.#runs.get(key);
-		if (run && run.status !== 'queued' && run.status !== 'discarded') {
+		const status = run?.status ?? this.#closed.statusOf(key) ?? 'queued';
+		if (status !== 'queued' && status !== 'discarded') {
 			return false;
 		}
 
-		this.#close(key, 'discarded');
+		this.#closed.close(key, 'discarded', run?.grant.idempotent ?? false);
 		run?.finish('discarded', {type: 'lost', reason: 'grant-discarded'});
 		return true;
 	}
@@ -169,7 +174,7 @@
 	#cancel(attempt: AttemptName, reason: string): {cancelled: boolean} {
 		const key = attemptKey(attempt);
 		const run = this.#runs.get(key);
-		this.#close(key, 'lost');
+		this.#closed.close(key, 'lost', run?.grant.idempotent ?? false);
 		if (!run || run.isFinished) {
 			return {cancelled: false};
 		}
@@ -179,10 +184,6 @@
 		return {cancelled: true};
 	}
 
-	#close(key: string, status: AttemptStatus): void {
-		this.#closed.set(key, {status, untilMs: performance.now() + keepKeysMs});
-	}
-
 	/**
 	 * Starts the attempt of a grant, or finds it when it runs already.
 	 *
@@ -199,7 +200,7 @@
 			throw this.#refuse('dispatcher-restarted', 'The dispatcher restarted.');
 		}
 
-		if (this.#closed.has(key)) {
+		if (this.#closed.statusOf(key)) {
 			throw this.#refuse('grant-discarded', 'The grant is not valid any more.');
 		}
 
@@ -318,7 +319,7 @@
 		const dispatcher = this.#agentOf(upstream);
 		if (upstream.spec.type === 'service') {
 			return runToolCall({
-				dispatcher,
+				dispatcher: run.grant.idempotent ? dispatcher : this.#singleUseAgent,
 				address,
 				run,
 				answerSizeBytes: this.#context.settings.limits.answerSizeBytes,
@@ -466,7 +467,7 @@
 			void entry?.agent.close();
 			entry = {
 				address: spec.address,
-				agent: new Agent({pipelining: 1, connect: {timeout: 2000}}),
+				agent: new Agent({pipelining: 1, connect: {timeout: connectTimeoutMs}}),
 			};
 			this.#agents.set(name, entry);
 		}
@@ -479,15 +480,11 @@
 		for (const [key, run] of this.#runs) {
 			if (nowMs - run.finishedMs > keepFinishedMs) {
 				this.#runs.delete(key);
-				this.#close(key, run.status);
+				this.#closed.close(key, run.status, run.grant.idempotent);
 			}
 		}
 
-		for (const [key, {untilMs}] of this.#closed) {
-			if (nowMs > untilMs) {
-				this.#closed.delete(key);
-			}
-		}
+		this.#closed.sweep();
 	}
 
 	/** Releases memory that engines hold for programs that have ended or are unknown. */
@@ -500,7 +497,12 @@
 		);
 		for (const engine of engines) {
 			try {
-				await this.#reconcileEngine(engine);
+				await reconcileEngineMemory({
+					engine,
+					dispatcher: this.#agentOf(engine),
+					groups: this.#groups,
+					shardCount: this.#context.settings.cluster.shardCount,
+				});
 			} catch (error) {
 				this.#context.retries.increment({
 					step: 'reconcile-memory',
@@ -509,41 +511,6 @@
 			}
 		}
 	}
-
-	async #reconcileEngine(engine: UpstreamResource): Promise<void> {
-		const dispatcher = this.#agentOf(engine);
-		const {address} = engine.spec;
-		const timeouts = {headersTimeout: 2000, bodyTimeout: 2000};
-		const {body} = await request(`${address}/v1/kv`, {dispatcher, ...timeouts});
-		const {programs} = (await body.json()) as {
-			programs: Array<{programId: ProgramId; tokens: number}>;
-		};
-		const {shardCount} = this.#context.settings.cluster;
-		for (let shard = 0; shard < shardCount; shard++) {
-			const held = programs.filter(
-				({programId}) => programOfShard(programId) === shard,
-			);
-			if (held.length === 0) {
-				continue;
-			}
-
-			const dead = new Set(
-				await this.#groups.call<ProgramId[]>(
-					shardGroup(shard),
-					'programs.findDead',
-					{programIds: held.map(({programId}) => programId)},
-					{timeoutMs: 3000},
-				),
-			);
-			for (const programId of planReleases(held, (id) => !dead.has(id))) {
-				const answer = await request(
-					`${address}/v1/kv/${encodeURIComponent(programId)}`,
-					{method: 'DELETE', dispatcher, ...timeouts},
-				);
-				await answer.body.dump();
-			}
-		}
-	}
 }
 
 /** Text of an answer for the history; tool calls of a model need the whole message. */
