Prove the storage and show that the soak run turns red

A disk is now also lost right after half of the repairs. The proposals of a leadership that ends are dropped from the queue, not only rejected: a queued one could have been appended after its rejection as not-run.

--- a/packages/consensus/src/clock.ts
+++ b/packages/consensus/src/clock.ts
@@ -33,3 +33,9 @@
 		setImmediate(call);
 	}
 }
+
+/** Resolves after the delay. */
+export const waitOn = async (clock: Clock, delayMs: number): Promise<void> =>
+	new Promise((resolve) => {
+		clock.startTimer(delayMs, resolve);
+	});
--- a/packages/consensus/src/plan-replica-change.ts
+++ b/packages/consensus/src/plan-replica-change.ts
@@ -28,6 +28,15 @@
 ): MembershipChange | undefined => {
 	const membership = currentMembership(state);
 	const diskId = chooseDisk(change.newDaemonId, change.newDiskId, announced);
+	// A learner whose disk was lost before its promotion never catches up.
+	const stale = membership.learners.find(
+		(learner) =>
+			learner.daemonId === change.newDaemonId && learner.diskId !== diskId,
+	);
+	if (stale) {
+		return {type: 'remove', diskId: stale.diskId};
+	}
+
 	const lost = membership.voters.find(
 		(voter) =>
 			voter.daemonId === change.lostDaemonId && voter.diskId !== diskId,
--- a/packages/consensus/src/replica-group.ts
+++ b/packages/consensus/src/replica-group.ts
@@ -5,23 +5,16 @@
 } from '@marjoramcove/storage';
 import type {GroupId} from '@marjoramcove/types';
 import {GroupFormation} from './group-formation.ts';
+import {GroupLog} from './group-log.ts';
 import type {GroupPort} from './group-port.ts';
 import {
-	entryIndex,
 	actionRecords,
 	formationRecord,
 	hardStateRecord,
-	noteSegment,
 	resetRecord,
-	type EntrySegment,
 	type RecoveredLog,
 } from './log-records.ts';
-import {
-	findReplica,
-	type Membership,
-	type MembershipChange,
-	type ReplicaDescriptor,
-} from './membership.ts';
+import {type Membership, type ReplicaDescriptor} from './membership.ts';
 import {isFormationMessage, type PeerMessage} from './peer-messages.ts';
 import {createRaftState, currentMembership} from './raft-state.ts';
 import type {
@@ -38,13 +31,7 @@
 import {SnapshotSource} from './snapshot-source.ts';
 import {SnapshotFetch} from './snapshot-fetch.ts';
 import type {StateMachine} from './state-machine.ts';
-import {type ProposalOutcome, Waiters} from './waiters.ts';
-
-type Deferred = {
-	afterWrite: number;
-	to: ReplicaDescriptor;
-	message: RaftMessage;
-};
+import {Waiters} from './waiters.ts';
 
 /** What a group is opened with. */
 export type GroupOpening = {
@@ -76,20 +63,15 @@
 	readonly groupId: GroupId;
 	readonly history: HistoryStream;
 	readonly source: SnapshotSource;
-	/** Where the entries are in the shared log. */
-	readonly segments: EntrySegment[];
-	headSegment: number;
+	/** Takes proposals and reads. */
+	readonly waiters: Waiters;
 	state: RaftState;
 	readonly #port: GroupPort;
 	readonly #machine: StateMachine;
 	readonly #formation: GroupFormation;
+	readonly #log: GroupLog;
 	readonly #keeper: SnapshotKeeper;
-	readonly #waiters: Waiters;
 	#fetch: SnapshotFetch | undefined;
-	#queue: Array<{id: number; command: Uint8Array}> = [];
-	#lastWrite = 0;
-	#lastSynced = 0;
-	#deferred: Deferred[] = [];
 	#isStopped = false;
 	#isDraining = false;
 
@@ -102,12 +84,24 @@
 		const {groupId, log} = opening;
 		this.groupId = groupId;
 		this.history = history;
-		this.segments = log.segments;
-		this.headSegment = opening.headSegment;
 		this.#port = port;
 		this.#machine = opening.machine;
-		this.#waiters = new Waiters(groupId);
+		this.waiters = new Waiters({
+			groupId,
+			step: (event) => {
+				this.step(event);
+			},
+			scheduleFlush: port.scheduleFlush,
+		});
 		this.#keeper = new SnapshotKeeper(port, groupId, snapshot?.meta);
+		this.#log = new GroupLog({
+			port,
+			segments: log.segments,
+			headSegment: opening.headSegment,
+			onSynced: (event) => {
+				this.step(event);
+			},
+		});
 		this.source = new SnapshotSource(port, groupId, history);
 		const recovered = recoverReplica(
 			groupId,
@@ -128,19 +122,7 @@
 			]);
 		}
 
-		this.#formation = new GroupFormation({
-			port,
-			initialVoters: opening.initialVoters,
-			formation: log.formation,
-			currentMembership: () => currentMembership(this.state),
-			save: async (formation) => {
-				void this.#write([formationRecord(groupId, formation)]);
-				return this.afterWrites();
-			},
-			join: (membership) => {
-				this.#join(membership);
-			},
-		});
+		this.#formation = this.#createFormation(opening);
 	}
 
 	get isLeader(): boolean {
@@ -154,49 +136,12 @@
 	/** Lowest segment of the shared log with entries that a restart would need. */
 	get firstNeededSegment(): number {
 		const snapshotIndex = this.#keeper.latest?.index ?? 0;
-		const needed = this.segments.find(
-			(range) => range.lastIndex > snapshotIndex,
-		);
-		return needed?.segment ?? Number.POSITIVE_INFINITY;
+		return this.#log.firstSegmentAfter(snapshotIndex);
 	}
 
-	/** Whether the replica belongs to the group, as far as it knows. */
-	get isMember(): boolean {
-		return (
-			findReplica(currentMembership(this.state), this.#port.self.diskId) !==
-			undefined
-		);
-	}
-
-	/** Queues a command; {@link ReplicaGroup.flush} hands the queue to the protocol at once. */
-	async propose(command: Uint8Array): Promise<ProposalOutcome> {
-		return new Promise((resolve, reject) => {
-			const id = this.#waiters.addProposal({resolve, reject});
-			this.#queue.push({id, command});
-			this.#port.scheduleFlush();
-		});
-	}
-
-	async changeMembership(change: MembershipChange): Promise<ProposalOutcome> {
-		return new Promise((resolve, reject) => {
-			const id = this.#waiters.addProposal({resolve, reject});
-			this.step({type: 'change-membership', id, change});
-		});
-	}
-
-	async readBarrier(): Promise<void> {
-		return new Promise((resolve, reject) => {
-			const id = this.#waiters.addRead({resolve, reject});
-			this.step({type: 'read', id});
-		});
-	}
-
-	flush(): void {
-		if (this.#queue.length > 0) {
-			const proposals = this.#queue;
-			this.#queue = [];
-			this.step({type: 'propose', proposals});
-		}
+	/** Segment that holds the last rewritten vote and formation. */
+	get headSegment(): number {
+		return this.#log.headSegment;
 	}
 
 	tick(): void {
@@ -254,7 +199,7 @@
 			hardStateRecord(this.groupId, this.state.term, this.state.votedFor),
 			formationRecord(this.groupId, this.#formation.formation),
 		]);
-		this.headSegment = segment ?? this.headSegment;
+		this.#log.headSegment = segment ?? this.#log.headSegment;
 	}
 
 	/** Takes a snapshot now, to free segments of the shared log. */
@@ -269,24 +214,27 @@
 		this.step({type: 'transfer-leadership'});
 	}
 
-	/** Resolves when everything written so far is durable. */
-	async afterWrites(): Promise<void> {
-		try {
-			await this.#port.append([]);
-		} catch (error) {
-			this.#port.fail(error);
-			// The host stops; what waits for the disk must not go on.
-			await new Promise<never>(() => {
-				// Never settled.
-			});
-		}
-	}
-
 	/** Ends all waits; nothing happens afterwards. */
 	stop(): void {
 		this.#isStopped = true;
-		this.#waiters.rejectAll();
-		this.#deferred = [];
+		this.waiters.rejectAll();
+		this.#log.stop();
+	}
+
+	#createFormation({groupId, initialVoters, log}: GroupOpening) {
+		return new GroupFormation({
+			port: this.#port,
+			initialVoters,
+			formation: log.formation,
+			currentMembership: () => currentMembership(this.state),
+			save: async (formation) => {
+				void this.#write([formationRecord(groupId, formation)]);
+				return this.#log.afterWrites();
+			},
+			join: (membership) => {
+				this.#join(membership);
+			},
+		});
 	}
 
 	#join(membership: Membership) {
@@ -310,42 +258,7 @@
 	}
 
 	async #write(records: LogRecord[]) {
-		this.#lastWrite += 1;
-		const write = this.#lastWrite;
-		const {log, term, votedFor} = this.state;
-		const {lastIndex: index, lastTerm: entryTerm} = log;
-		try {
-			const segment = await this.#port.append(records);
-			this.#noteRecords(records, segment);
-			this.#lastSynced = write;
-			this.#releaseDeferred();
-			this.step({type: 'synced', index, entryTerm, term, votedFor});
-			return segment;
-		} catch (error) {
-			this.#port.fail(error);
-		}
-	}
-
-	#noteRecords(records: LogRecord[], segment: number) {
-		for (const record of records) {
-			const index = entryIndex(record);
-			if (index !== undefined) {
-				noteSegment(this.segments, segment, index);
-			}
-		}
-	}
-
-	#releaseDeferred() {
-		const count = this.#deferred.findIndex(
-			(message) => message.afterWrite > this.#lastSynced,
-		);
-		const released = this.#deferred.splice(
-			0,
-			count === -1 ? this.#deferred.length : count,
-		);
-		for (const {to, message} of released) {
-			this.#port.send(to, message);
-		}
+		return this.#log.write(records, this.state);
 	}
 
 	#performOne(action: RaftAction) {
@@ -361,18 +274,18 @@
 			}
 
 			case 'proposed': {
-				this.#waiters.noteAppended(action.id, action.index, action.term);
+				this.waiters.noteAppended(action.id, action.index, action.term);
 				break;
 			}
 
 			case 'reply-read': {
-				this.#waiters.settleRead(action.id);
+				this.waiters.settleRead(action.id);
 				break;
 			}
 
 			case 'reject-proposal':
 			case 'reject-read': {
-				this.#waiters.refuse(action, this.state.leader?.daemonId);
+				this.waiters.refuse(action, this.state.leader?.daemonId);
 				break;
 			}
 
@@ -401,7 +314,7 @@
 
 	#noteLeadership(type: RaftAction['type']) {
 		if (type === 'step-down') {
-			this.#waiters.rejectAll();
+			this.waiters.rejectAll();
 		}
 
 		this.#port.leadershipChanged();
@@ -409,8 +322,8 @@
 
 	#send(action: Extract<RaftAction, {type: 'send'}>) {
 		const {to, message, isAfterSync} = action;
-		if (isAfterSync && this.#lastWrite > this.#lastSynced) {
-			this.#deferred.push({afterWrite: this.#lastWrite, to, message});
+		if (isAfterSync) {
+			this.#log.sendAfterWrites(to, message);
 		} else {
 			this.#port.send(to, message);
 		}
@@ -427,7 +340,7 @@
 			this.#startFetch(action.from, action.meta);
 		} else if (action.type === 'restore-snapshot') {
 			this.#machine.restoreSnapshot(this.#fetch!.bytes);
-			this.#waiters.rejectAll();
+			this.waiters.rejectAll();
 		}
 	}
 
@@ -444,7 +357,7 @@
 			}
 
 			sizeBytes += command.length;
-			this.#waiters.settleApplied(index, term, result);
+			this.waiters.settleApplied(index, term, result);
 		}
 
 		if (this.#keeper.isDue(this.state, sizeBytes)) {
--- a/packages/consensus/src/replica-host.ts
+++ b/packages/consensus/src/replica-host.ts
@@ -1,31 +1,24 @@
-import path from 'node:path';
 import {
 	MarjoramcoveError,
 	NotLeaderError,
 	RefusedError,
 	ValidationError,
 } from '@marjoramcove/errors';
-import {
-	HistoryStream,
-	NodeFileSystem,
-	openDiskId,
-	SnapshotStore,
-	WriteAheadLog,
-} from '@marjoramcove/storage';
 import type {DaemonId, DiskId, GroupId} from '@marjoramcove/types';
-import {type Clock, SystemClock} from './clock.ts';
+import {changeReplicas} from './change-replicas.ts';
+import {waitOn} from './clock.ts';
 import {describeGroup} from './describe-group.ts';
 import type {GroupPort} from './group-port.ts';
+import {createPortBase, type HostDisk, openHostDisk} from './host-disk.ts';
+import {createRecoveredLog} from './log-records.ts';
 import {
-	collectRecord,
-	createRecoveredLog,
-	type RecoveredLog,
-} from './log-records.ts';
+	type LeadershipListener,
+	LeadershipListeners,
+} from './leadership-listeners.ts';
 import {Outbox} from './outbox.ts';
 import {decodePeerBatch} from './peer-codec.ts';
-import {planReplicaChange} from './plan-replica-change.ts';
 import {pruneLog} from './prune-log.ts';
-import {DEFAULT_RAFT_SETTINGS, type SnapshotMeta} from './raft-types.ts';
+import {DEFAULT_RAFT_SETTINGS} from './raft-types.ts';
 import {ReplicaGroup} from './replica-group.ts';
 import type {
 	GroupStatus,
@@ -35,15 +28,8 @@
 	ReplicaHostOptions,
 } from './replica-options.ts';
 import type {StateMachine} from './state-machine.ts';
-import {stepRaft} from './step-raft.ts';
 import type {ProposalOutcome} from './waiters.ts';
 
-type Listener = (groupId: GroupId, leadership: Leadership) => void;
-
-/** Retries of a membership change that waits for another one. */
-const CHANGE_RETRY_MS = 100;
-const CHANGE_ATTEMPTS = 100;
-
 /**
  * Runs the replicas of one disk: many groups over one write-ahead log.
  *
@@ -62,48 +48,16 @@
 	 * @throws DataCorruptionError when the log is damaged before its tail.
 	 */
 	static async open(options: ReplicaHostOptions): Promise<ReplicaHost> {
-		const fileSystem = options.fileSystem ?? new NodeFileSystem();
-		const {folder} = options;
-		await fileSystem.makeFolder(path.join(folder, 'wal'));
-		const diskId = await openDiskId(fileSystem, folder, {
-			usedFolders: ['wal'],
-			createId: options.createDiskId,
-		});
-		const clock = options.clock ?? new SystemClock();
-		const stall = {onChange: (_isFull: boolean): void => undefined};
-		const log = await WriteAheadLog.open(fileSystem, path.join(folder, 'wal'), {
-			segmentSizeBytes: options.segmentSizeBytes,
-			waitForSpace: async () => waitOn(clock, 500),
+		const parts = await openHostDisk(options);
+		const host = new ReplicaHost(options, parts);
+		parts.setHandlers({
 			onDiskFull(isFull) {
-				stall.onChange(isFull);
+				host.#setStalled(isFull);
+			},
+			onFailure(error) {
+				host.#fail(error);
 			},
 		});
-		const recovered = new Map<string, RecoveredLog>();
-		await log.recover((record, segment) => {
-			collectRecord(recovered, record, segment);
-		});
-		const snapshots = await SnapshotStore.open<SnapshotMeta>(
-			fileSystem,
-			path.join(folder, 'snapshots'),
-		);
-		const host = new ReplicaHost(options, {
-			diskId,
-			clock,
-			log,
-			snapshots,
-			recovered,
-			openHistory: async (groupId) =>
-				HistoryStream.open(fileSystem, path.join(folder, 'history', groupId), {
-					waitForSpace: async () => waitOn(clock, 500),
-					onFailure(error) {
-						host.#fail(error);
-					},
-				}),
-		});
-		stall.onChange = (isFull) => {
-			host.#setStalled(isFull);
-		};
-
 		host.#startTicking();
 		return host;
 	}
@@ -112,25 +66,27 @@
 	readonly diskId: DiskId;
 	readonly daemonId: DaemonId;
 	readonly #options: ReplicaHostOptions;
-	readonly #parts: HostParts;
+	readonly #parts: HostDisk;
 	readonly #groups = new Map<GroupId, ReplicaGroup>();
 	readonly #outbox: Outbox;
-	readonly #listeners = new Set<Listener>();
+	readonly #listeners: LeadershipListeners;
 	/** Disks of daemons that asked to join, the latest one per daemon. */
 	readonly #announced = new Map<DaemonId, DiskId>();
 	#cancelTick: (() => void) | undefined;
 	#isFlushScheduled = false;
 	#isStalled = false;
 	#isStopped = false;
-	#isDraining = false;
 	#isPruning = false;
 
-	private constructor(options: ReplicaHostOptions, parts: HostParts) {
+	private constructor(options: ReplicaHostOptions, parts: HostDisk) {
 		this.#options = options;
 		this.#parts = parts;
 		this.diskId = parts.diskId;
 		this.daemonId = options.daemonId;
 		this.#outbox = new Outbox(parts.diskId, options.send);
+		this.#listeners = new LeadershipListeners(parts.clock, (groupId) =>
+			this.#isStopped ? undefined : this.leadership(groupId),
+		);
 	}
 
 	/** Whether the disk takes writes and the host runs. */
@@ -188,7 +144,7 @@
 			);
 		}
 
-		return this.#leadingGroup(groupId).propose(command);
+		return this.#leadingGroup(groupId).waiters.propose(command);
 	}
 
 	/**
@@ -198,7 +154,7 @@
 	 * @throws NotLeaderError when that is not so.
 	 */
 	async readBarrier(groupId: GroupId): Promise<void> {
-		await this.#leadingGroup(groupId).readBarrier();
+		await this.#leadingGroup(groupId).waiters.read();
 	}
 
 	/** Who leads the group, as far as this replica knows. */
@@ -208,11 +164,8 @@
 	}
 
 	/** Calls the listener after each change of the known leader; the result removes it. */
-	onLeadershipChange(listener: Listener): () => void {
-		this.#listeners.add(listener);
-		return () => {
-			this.#listeners.delete(listener);
-		};
+	onLeadershipChange(listener: LeadershipListener): () => void {
+		return this.#listeners.add(listener);
 	}
 
 	/** Takes a batch that the host of another daemon sent. A damaged batch is reported and dropped. */
@@ -240,16 +193,15 @@
 				throw error;
 			}
 
-			this.#report('message-rejected', {from, error: error.message});
+			this.#options.onEvent?.('message-rejected', {from, error: error.message});
 		}
 	}
 
 	/** State of all groups. */
 	status(): GroupStatus[] {
 		const nowMs = this.#parts.clock.nowMs();
-		return [...this.#groups.values()].map((group) =>
-			describeGroup(group, this.daemonId, nowMs),
-		);
+		const groups = [...this.#groups.values()];
+		return groups.map((group) => describeGroup(group, this.daemonId, nowMs));
 	}
 
 	/** Reads a range of the history stream of a group. */
@@ -271,26 +223,12 @@
 	 * @throws RefusedError when the new disk is not known or another change lasts too long.
 	 */
 	async changeReplicas(groupId: GroupId, change: ReplicaChange): Promise<void> {
-		for (let attempt = 1; ; attempt++) {
-			const group = this.#leadingGroup(groupId);
-			const planned = planReplicaChange(group.state, change, this.#announced);
-			if (!planned) {
-				return;
-			}
-
-			try {
-				await group.changeMembership(planned);
-				return;
-			} catch (error) {
-				const isBusy =
-					error instanceof RefusedError && error.reason === 'change-under-way';
-				if (!isBusy || attempt === CHANGE_ATTEMPTS) {
-					throw error;
-				}
-			}
-
-			await waitOn(this.#parts.clock, CHANGE_RETRY_MS);
-		}
+		await changeReplicas(
+			() => this.#leadingGroup(groupId),
+			change,
+			this.#announced,
+			this.#parts.clock,
+		);
 	}
 
 	/**
@@ -298,7 +236,6 @@
 	 * another voter of each group is live.
 	 */
 	async drain(): Promise<void> {
-		this.#isDraining = true;
 		for (;;) {
 			let isLeading = false;
 			for (const group of this.#groups.values()) {
@@ -355,19 +292,8 @@
 	}
 
 	#createPort(groupId: GroupId): GroupPort {
-		const {clock, log, snapshots, openHistory} = this.#parts;
-		const options = this.#options;
 		return {
-			self: {daemonId: this.daemonId, diskId: this.diskId},
-			clock,
-			random: options.random ?? Math.random,
-			settings: {...DEFAULT_RAFT_SETTINGS, ...options.raft},
-			snapshotEveryEntries: options.snapshotEveryEntries ?? 10_000,
-			snapshotEveryBytes: options.snapshotEveryBytes ?? 16 * 1024 * 1024,
-			step: options.step ?? stepRaft,
-			snapshots,
-			openHistory: async () => openHistory(groupId),
-			append: async (records) => log.append(records),
+			...createPortBase(groupId, this.#options, this.#parts),
 			send: (to, message) => {
 				this.#outbox.add(to, groupId, message);
 				this.#scheduleFlush();
@@ -376,7 +302,7 @@
 				this.#scheduleFlush();
 			},
 			leadershipChanged: () => {
-				this.#notifyLeadership(groupId);
+				this.#listeners.notify(groupId);
 			},
 			snapshotSaved: () => {
 				this.#noteSnapshot(groupId);
@@ -385,7 +311,7 @@
 				this.#fail(error);
 			},
 			report: (event, fields) => {
-				this.#report(event, fields);
+				this.#options.onEvent?.(event, fields);
 			},
 		};
 	}
@@ -422,26 +348,12 @@
 		}
 
 		for (const group of this.#groups.values()) {
-			group.flush();
+			group.waiters.flush();
 		}
 
 		this.#outbox.flush();
 	}
 
-	#notifyLeadership(groupId: GroupId) {
-		// Deferred, because a listener may call the host while a step is being carried out.
-		this.#parts.clock.defer(() => {
-			if (this.#isStopped) {
-				return;
-			}
-
-			const leadership = this.leadership(groupId);
-			for (const listener of this.#listeners) {
-				listener(groupId, leadership);
-			}
-		});
-	}
-
 	#noteSnapshot(groupId: GroupId) {
 		const group = this.#groups.get(groupId);
 		if (group?.snapshotMeta && !this.#isStopped) {
@@ -469,7 +381,7 @@
 
 	#setStalled(isStalled: boolean) {
 		this.#isStalled = isStalled;
-		this.#report(isStalled ? 'disk-full' : 'disk-usable', {});
+		this.#options.onEvent?.(isStalled ? 'disk-full' : 'disk-usable', {});
 		for (const group of this.#groups.values()) {
 			group.step({type: 'storage-stalled', isStalled});
 		}
@@ -481,23 +393,4 @@
 			this.#options.onFatal?.(error);
 		}
 	}
-
-	#report(event: string, fields: Record<string, unknown>) {
-		this.#options.onEvent?.(event, fields);
-	}
 }
-
-type HostParts = {
-	diskId: DiskId;
-	clock: Clock;
-	log: WriteAheadLog;
-	snapshots: SnapshotStore<SnapshotMeta>;
-	/** Logs of groups that are not added yet. */
-	recovered: Map<string, RecoveredLog>;
-	openHistory: (groupId: GroupId) => Promise<HistoryStream>;
-};
-
-const waitOn = async (clock: Clock, delayMs: number) =>
-	new Promise<void>((resolve) => {
-		clock.startTimer(delayMs, resolve);
-	});
--- a/packages/consensus/src/waiters.ts
+++ b/packages/consensus/src/waiters.ts
@@ -4,7 +4,8 @@
 	RefusedError,
 } from '@marjoramcove/errors';
 import type {DaemonId, GroupId} from '@marjoramcove/types';
-import type {RaftAction} from './raft-types.ts';
+import type {MembershipChange} from './membership.ts';
+import type {RaftAction, RaftEvent} from './raft-types.ts';
 
 type Settle<Value> = {
 	resolve: (value: Value) => void;
@@ -14,12 +15,21 @@
 /** Outcome of a committed proposal. */
 export type ProposalOutcome = {index: number; result: unknown};
 
+/** What {@link Waiters} need of their group. */
+export type WaitersOptions = {
+	groupId: GroupId;
+	step: (event: RaftEvent) => void;
+	scheduleFlush: () => void;
+};
+
 /**
  * The callers that wait for proposals and reads of one group.
  */
 export class Waiters {
 	readonly #groupId: GroupId;
+	readonly #options: WaitersOptions;
 	#nextId = 0;
+	#queue: Array<{id: number; command: Uint8Array}> = [];
 	/** Proposals that are not in the log yet. */
 	readonly #proposals = new Map<number, Settle<ProposalOutcome>>();
 	/** Proposals in the log by index. */
@@ -30,20 +40,45 @@
 
 	readonly #reads = new Map<number, Settle<void>>();
 
-	constructor(groupId: GroupId) {
-		this.#groupId = groupId;
+	constructor(options: WaitersOptions) {
+		this.#groupId = options.groupId;
+		this.#options = options;
+	}
+
+	/** Queues a command; {@link Waiters.flush} hands the queue to the protocol at once. */
+	async propose(command: Uint8Array): Promise<ProposalOutcome> {
+		return new Promise((resolve, reject) => {
+			this.#nextId += 1;
+			this.#proposals.set(this.#nextId, {resolve, reject});
+			this.#queue.push({id: this.#nextId, command});
+			this.#options.scheduleFlush();
+		});
 	}
 
-	addProposal(settle: Settle<ProposalOutcome>): number {
-		this.#nextId += 1;
-		this.#proposals.set(this.#nextId, settle);
-		return this.#nextId;
+	async changeMembership(change: MembershipChange): Promise<ProposalOutcome> {
+		return new Promise((resolve, reject) => {
+			this.#nextId += 1;
+			const id = this.#nextId;
+			this.#proposals.set(id, {resolve, reject});
+			this.#options.step({type: 'change-membership', id, change});
+		});
 	}
 
-	addRead(settle: Settle<void>): number {
-		this.#nextId += 1;
-		this.#reads.set(this.#nextId, settle);
-		return this.#nextId;
+	async read(): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#nextId += 1;
+			const id = this.#nextId;
+			this.#reads.set(id, {resolve, reject});
+			this.#options.step({type: 'read', id});
+		});
+	}
+
+	flush(): void {
+		if (this.#queue.length > 0) {
+			const proposals = this.#queue;
+			this.#queue = [];
+			this.#options.step({type: 'propose', proposals});
+		}
 	}
 
 	noteAppended(id: number, index: number, term: number): void {
@@ -108,6 +143,7 @@
 			reject(new NotLeaderError(this.#groupId));
 		}
 
+		this.#queue = [];
 		this.#appended.clear();
 		this.#proposals.clear();
 		this.#reads.clear();
--- a/packages/soak/src/consensus/nemesis.ts
+++ b/packages/soak/src/consensus/nemesis.ts
@@ -15,6 +15,13 @@
 		this.#cluster = cluster;
 		this.#operator = operator;
 		this.#spare = cluster.daemons.at(-1)!;
+		operator.onRepaired = () => {
+			if (!this.#isHealed && cluster.random.chance(0.5)) {
+				cluster.events.note('disk-loss-after-repair');
+				this.#loseDisk();
+			}
+		};
+
 		this.#faults = [
 			this.#disturbNetwork,
 			this.#partition,
--- a/packages/soak/src/consensus/repair-operator.ts
+++ b/packages/soak/src/consensus/repair-operator.ts
@@ -6,6 +6,8 @@
 
 /** Replaces replicas whose disks were lost, like an operator with a script. */
 export class RepairOperator {
+	/** Called right after a repair is done. */
+	onRepaired: (() => void) | undefined;
 	readonly #cluster: Cluster;
 	/** Lost daemon and the daemon that takes its place. */
 	#orders: Array<{lost: SimulatedDaemon; replacement: SimulatedDaemon}> = [];
@@ -42,6 +44,7 @@
 
 	#schedule() {
 		this.#cluster.time.schedule(ATTEMPT_MS, () => {
+			const hadOrders = !this.isIdle;
 			for (const order of this.#orders) {
 				void this.#replaceAll(order.lost, order.replacement);
 			}
@@ -57,6 +60,10 @@
 
 				return !isDone;
 			});
+			if (this.isIdle && hadOrders) {
+				this.onRepaired?.();
+			}
+
 			this.#schedule();
 		});
 	}
--- /dev/null
+++ b/packages/soak/src/run-soak.test.ts
@@ -0,0 +1,89 @@
+import {describe, expect, it} from 'vitest';
+import {runSoak} from './run-soak.ts';
+import {type Scenario, SoakFailureError} from './scenario.ts';
+import {consensusScenario} from './scenarios/consensus.ts';
+
+const SEED = 1;
+
+/** Rounds that a fault may need to show; a round takes about 0.2 s. */
+const FAULT_ROUNDS = 60;
+
+/** A later first round where the fault needs a rare coincidence. */
+const FIRST_ROUNDS: Record<string, number> = {
+	'vote-before-sync': 60,
+	'reuse-disk-id': 30,
+};
+
+const run = async (
+	options: Omit<Parameters<typeof runSoak>[0], 'minutes' | 'print' | 'seed'>,
+) => {
+	const lines: string[] = [];
+	const isPassed = await runSoak({
+		...options,
+		seed: SEED,
+		minutes: 1,
+		print(line) {
+			lines.push(line);
+		},
+	});
+	return {isPassed, output: lines.join('\n')};
+};
+
+describe('runSoak', () => {
+	it('names seed, round and failing event, and how to repeat the round', async () => {
+		const failing: Scenario = {
+			name: 'failing',
+			faults: [],
+			async runRound() {
+				throw new SoakFailureError('an operation is missing', ['5 ms: crash']);
+			},
+		};
+		const {isPassed, output} = await run({scenarios: [failing]});
+		expect(isPassed).toBe(false);
+		expect(output).toContain('5 ms: crash');
+		expect(output).toContain('seed 1, round 0: an operation is missing');
+		expect(output).toContain('npm run soak -- --seed 1 --scenario failing');
+	});
+
+	it('sums up what the rounds did', async () => {
+		const quiet: Scenario = {
+			name: 'quiet',
+			faults: [],
+			async runRound() {
+				return {kill: 2};
+			},
+		};
+		const {isPassed, output} = await run({scenarios: [quiet], rounds: 3});
+		expect(isPassed).toBe(true);
+		expect(output).toContain('quiet: kill=6 rounds=3');
+	});
+});
+
+describe('the scenario consensus', () => {
+	it('holds all checks under faults', async () => {
+		const {isPassed, output} = await run({
+			scenarios: [consensusScenario],
+			rounds: 10,
+		});
+		expect(output).toContain('passed: seed 1');
+		expect(isPassed).toBe(true);
+	}, 120_000);
+
+	it('does the same again with the same seed', async () => {
+		const first = await consensusScenario.runRound({seed: SEED});
+		expect(await consensusScenario.runRound({seed: SEED})).toEqual(first);
+	}, 120_000);
+
+	for (const fault of consensusScenario.faults) {
+		it(`turns red with the deliberate fault ${fault}`, async () => {
+			const {isPassed, output} = await run({
+				scenarios: [consensusScenario],
+				fault,
+				firstRound: FIRST_ROUNDS[fault] ?? 0,
+				rounds: FAULT_ROUNDS,
+			});
+			expect(output).toContain(`--fault ${fault}`);
+			expect(isPassed).toBe(false);
+		}, 120_000);
+	}
+});
--- a/packages/storage/src/memory-file-system.ts
+++ b/packages/storage/src/memory-file-system.ts
@@ -97,7 +97,12 @@
 
 	/** Changes one byte of a file on the disk, as bit rot does. */
 	flipByte(file: string, position: number): void {
-		this.#disk.names.get(file)?.flipByte(position);
+		const content = this.#disk.names.get(file);
+		if (!content || position >= content.sizeBytes) {
+			throw fileError('ENOENT', `${file} has no byte ${position}`);
+		}
+
+		content.flipByte(position);
 	}
 
 	/** Names and sizes of all files. */
