Prove the program machine with doubled, late and reordered commands

A model test runs callers, executors, engines and owners against two shards and compares with what really happened. It found two faults of the machine:

- An accept whose record had been dropped (program ended, or more than 16 idempotent calls) was refused with not-run although the call had run.
The machine now keeps 4 bytes per dropped record and answers may-have-run, also for an unknown program.
- A late copy of record-release after the end of the program dropped a hold that a newer call had renewed.
The hold number now grows with each attempt and must match in every phase.

--- a/packages/programs/src/accept-call.ts
+++ b/packages/programs/src/accept-call.ts
@@ -4,9 +4,11 @@
 import {countEntries} from './history-entries.ts';
 import {
 	appendRecord,
+	countForgotten,
 	findRecord,
 	hashBody,
 	hashRequestId,
+	isForgotten,
 	MAX_ENTRIES,
 } from './request-records.ts';
 import type {ProgramRefusalReason, ProgramResult} from './results.ts';
@@ -171,8 +173,8 @@
 	{reason, message}: Refusal,
 ): ProgramResult => {
 	const {state} = context;
-	program.records = appendRecord(
-		program.records,
+	appendRecord(
+		program,
 		{
 			idHash: hashRequestId(command.requestId),
 			bodyHash: hashBody(command.bodyHash),
@@ -187,9 +189,10 @@
 		},
 		state.limits.recordsPerProgram,
 	);
-	const ended = !program.call && isExhausted(program, reason);
+	const isFlooded = countForgotten(program) >= state.limits.forgottenPerProgram;
+	const ended = isFlooded || (!program.call && isExhausted(program, reason));
 	if (ended) {
-		endProgram(context, program, reason);
+		endProgram(context, program, isFlooded ? 'refusal-limit' : reason);
 	}
 
 	return {...refuse(reason, message), ...(ended && {ended})};
@@ -231,10 +234,11 @@
 ): ProgramResult => {
 	const program = context.state.programs.get(command.programId);
 	if (!program) {
-		return refuse(
-			'program-unknown',
-			`No program ${command.programId} is known.`,
-		);
+		// The program may have ended and been dropped, so the request may have run.
+		return {
+			...refuse('program-unknown', `No program ${command.programId} is known.`),
+			verdict: 'may-have-run',
+		};
 	}
 
 	const known = answerKnown(context, program, command);
@@ -242,6 +246,16 @@
 		return known;
 	}
 
+	if (isForgotten(program, command.requestId)) {
+		return {
+			...refuse(
+				'request-forgotten',
+				`Request ${command.requestId} was handled before and its record was dropped.`,
+			),
+			verdict: 'may-have-run',
+		};
+	}
+
 	if (program.endedReason !== undefined) {
 		return refuse(
 			'program-ended',
--- a/packages/programs/src/assert-program.ts
+++ b/packages/programs/src/assert-program.ts
@@ -1,6 +1,7 @@
 import {assertInvariant} from '@marjoramcove/errors';
 import type {ProgramId} from '@marjoramcove/types';
 import {assertBudget} from './budget.ts';
+import {countForgotten, countRecords} from './request-records.ts';
 import type {ProgramsState} from './state.ts';
 import type {StepContext} from './step-context.ts';
 
@@ -57,4 +58,12 @@
 		'timeout-within-wall-time',
 		event,
 	);
+	const known =
+		countRecords(program) + countForgotten(program) + (call ? 1 : 0);
+	assertInvariant(
+		known >= program.nextTurn - 1,
+		'every-turn-has-a-record',
+		event,
+		`${known} records for ${program.nextTurn - 1} turns`,
+	);
 };
--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -112,9 +112,9 @@
 			programId: ProgramId;
 			upstreamId: UpstreamId;
 			/**
-			 * Turn of the hold that was released, as listed by `pendingReleases`. Without it, a
-			 * confirmation counts only for an ended program, because a late one could otherwise drop a
-			 * hold that a newer call renewed.
+			 * Number of the hold that was released, as listed by `pendingReleases`; it grows with each
+			 * turn and attempt. Without it, a confirmation counts only when it was made after the end of
+			 * the program, because a late one could otherwise drop a hold that a newer call renewed.
 			 */
 			heldTurn?: number;
 	  }
--- a/packages/programs/src/encode-programs.ts
+++ b/packages/programs/src/encode-programs.ts
@@ -23,6 +23,7 @@
 	'historyBytes',
 	'cachedTokens',
 	'records',
+	'forgotten',
 	'entries',
 	'call',
 	'holds',
@@ -37,13 +38,16 @@
 const noMissingField: [MissingField] extends [never] ? true : MissingField =
 	true;
 
+/** Fields that hold packed rows. */
+const PACKED = new Set<keyof Program>(['records', 'forgotten', 'entries']);
+
 const encodeField = (field: keyof Program, value: unknown): unknown =>
-	field === 'records' || field === 'entries'
+	PACKED.has(field)
 		? Buffer.from(value as string, 'latin1').toString('base64')
 		: value;
 
 const decodeField = (field: keyof Program, value: unknown): unknown => {
-	if (field === 'records' || field === 'entries') {
+	if (PACKED.has(field)) {
 		return Buffer.from(value as string, 'base64').toString('latin1');
 	}
 
--- a/packages/programs/src/end-program.ts
+++ b/packages/programs/src/end-program.ts
@@ -32,8 +32,8 @@
 		content: `The call was cancelled: ${reason}.`,
 	});
 	program.spentTokens += call.reservedTokens;
-	program.records = appendRecord(
-		program.records,
+	appendRecord(
+		program,
 		{
 			idHash: hashRequestId(call.requestId),
 			bodyHash: call.bodyHash,
@@ -62,13 +62,10 @@
 
 /** Keeps only the newest records and those of non-idempotent calls, and the entries they refer to. */
 const shrinkToTombstone = (state: ProgramsState, program: Program): void => {
-	const kept = dropOldRecords(
-		program.records,
-		state.limits.recordsPerEndedProgram,
-	);
+	dropOldRecords(program, state.limits.recordsPerEndedProgram);
 	let entries = '';
 	let count = 0;
-	const records = listRecords(kept).map((record) => {
+	const records = listRecords(program.records).map((record) => {
 		if (record.entryIndex === undefined) {
 			return record;
 		}
--- a/packages/programs/src/open-program.ts
+++ b/packages/programs/src/open-program.ts
@@ -62,6 +62,7 @@
 	historyBytes: 0,
 	cachedTokens: 0,
 	records: '',
+	forgotten: '',
 	entries: '',
 	call: undefined,
 	holds: [],
--- /dev/null
+++ b/packages/programs/src/program-model.test.ts
@@ -0,0 +1,63 @@
+import {InvariantViolationError} from '@marjoramcove/errors';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	ProgramModel,
+	type ProgramFault,
+	type ProgramStepChoice,
+} from './program-model.fixture.ts';
+
+const choices = fc.array(
+	fc.record<ProgramStepChoice>({
+		action: fc.nat(99),
+		pick: fc.nat(999),
+		luck: fc.nat(99),
+	}),
+	{minLength: 100, maxLength: 250, size: 'max'},
+);
+
+const runs = {seed: 20_261_204, numRuns: 150};
+
+describe('programs under doubled, late and reordered commands', () => {
+	it('keeps order, history, budgets, verdicts and holds (failure: any of I2, I3, I6, I8, I10 breaks)', () => {
+		fc.assert(
+			fc.property(choices, (sequence) => {
+				expect(new ProgramModel().run(sequence)).toEqual([]);
+			}),
+			{...runs, endOnFailure: true},
+		);
+	});
+
+	it.each<[ProgramFault, string]>([
+		['append-history-twice', 'history differs'],
+		['drop-carves', 'tokens exceeded'],
+		['drop-records', 'accepted twice'],
+		['drop-refusals', 'accepted after not-run was reported'],
+		['forget-hold', 'engine memory without a hold'],
+		['forget-open-call', 'accepted twice'],
+		['free-unknown-usage', 'tokens exceeded'],
+		['ignore-deadline', 'wall time exceeded'],
+		['resend-after-unknown', 'ran twice'],
+	])(
+		'detects the fault %s (failure: the check above cannot fail)',
+		(fault, symptom) => {
+			const found = fc.check(
+				fc.property(choices, (sequence) => {
+					const model = new ProgramModel(fault);
+					try {
+						model.run(sequence);
+					} catch (error) {
+						// A fault may also trip an invariant inside the machine; only the symptom counts here.
+						if (!(error instanceof InvariantViolationError)) {
+							throw error;
+						}
+					}
+
+					return !model.problems.has(symptom);
+				}),
+				{...runs, endOnFailure: true},
+			);
+			expect(String(found.errorInstance)).toContain('returning false');
+		},
+	);
+});
--- a/packages/programs/src/release.ts
+++ b/packages/programs/src/release.ts
@@ -3,8 +3,8 @@
 import {type CommandOf, refuse, type StepContext} from './step-context.ts';
 
 /**
- * Applies `record-release`: drops the hold on an engine. For a program that has not ended, only the
- * confirmation of the newest use counts, and none while the engine runs a call.
+ * Applies `record-release`: drops the hold on an engine. Only the confirmation of the newest use
+ * counts, also after the end of the program: a copy of an earlier one may arrive only then.
  */
 export const stepRecordRelease = (
 	context: StepContext,
@@ -19,9 +19,10 @@
 	}
 
 	const isCurrent =
-		command.heldTurn === hold.turn &&
-		program.call?.intent.upstreamId !== command.upstreamId;
-	if (program.endedReason === undefined && !isCurrent) {
+		command.heldTurn === undefined
+			? program.endedAtMs !== undefined && command.nowMs >= program.endedAtMs
+			: command.heldTurn === hold.turn;
+	if (!isCurrent || program.call?.intent.upstreamId === command.upstreamId) {
 		return {outcome: 'ignored', reason: 'hold-renewed'};
 	}
 
@@ -82,6 +83,7 @@
 		historyBytes: 0,
 		cachedTokens: 0,
 		records: '',
+		forgotten: '',
 		entries: '',
 		call: undefined,
 		holds: [],
--- a/packages/programs/src/request-records.ts
+++ b/packages/programs/src/request-records.ts
@@ -105,33 +105,74 @@
 const isPermanent = (record: StoredRecord): boolean =>
 	!record.idempotent && !record.refused;
 
+/** Packed records of a program, and the hashes of the request ids whose records were dropped. */
+export type RecordLog = {records: string; forgotten: string};
+
+const FORGOTTEN_BYTES = 4;
+
+const forgottenKey = (idHash: bigint): Buffer => {
+	const key = Buffer.alloc(FORGOTTEN_BYTES);
+	key.writeUInt32LE(Number(BigInt.asUintN(32, idHash)));
+	return key;
+};
+
 /**
- * Appends a record. Of the records of idempotent calls, and of those of refusals, only the newest
- * `keep` stay; records of non-idempotent calls always stay.
+ * Whether the record of a request id was dropped. Such a request may have run, or its refusal was
+ * reported, so it must not be accepted. Another id matches with a chance of 1 in 2^32.
  */
-export const appendRecord = (
-	rows: string,
-	record: StoredRecord,
-	keep: number,
-): string => {
-	const appended = appendRows(rows, encodeRecord(record));
-	return countRows(appended, ROW_BYTES) <= keep
-		? appended
-		: dropOldRecords(appended, keep);
+export const isForgotten = (log: RecordLog, requestId: RequestId): boolean => {
+	const key = forgottenKey(hashRequestId(requestId)).toString('latin1');
+	for (let at = 0; at < log.forgotten.length; at += FORGOTTEN_BYTES) {
+		if (log.forgotten.startsWith(key, at)) {
+			return true;
+		}
+	}
+
+	return false;
 };
 
-/** Drops all but the newest `keep` records of each droppable kind. */
-export const dropOldRecords = (rows: string, keep: number): string => {
-	const records = listRecords(rows);
+/** Drops all but the newest `keep` records of each droppable kind and keeps their hashes. */
+export const dropOldRecords = (log: RecordLog, keep: number): void => {
+	const records = listRecords(log.records);
 	let refusals = records.filter((record) => record.refused).length;
 	let calls = records.length - refusals;
-	return filterRows(rows, ROW_BYTES, (index) => {
+	const dropped: Buffer[] = [];
+	log.records = filterRows(log.records, ROW_BYTES, (index) => {
 		const record = records[index]!;
 		const remaining = record.refused ? refusals-- : calls--;
-		return isPermanent(record) || remaining <= keep;
+		const isKept = isPermanent(record) || remaining <= keep;
+		if (!isKept) {
+			dropped.push(forgottenKey(record.idHash));
+		}
+
+		return isKept;
 	});
+	log.forgotten = appendRows(log.forgotten, Buffer.concat(dropped));
 };
 
+/**
+ * Appends a record. Of the records of calls, and of those of refusals, the newest `keep` stay;
+ * records of non-idempotent calls always stay.
+ */
+export const appendRecord = (
+	log: RecordLog,
+	record: StoredRecord,
+	keep: number,
+): void => {
+	log.records = appendRows(log.records, encodeRecord(record));
+	if (countRows(log.records, ROW_BYTES) > keep) {
+		dropOldRecords(log, keep);
+	}
+};
+
+/** Number of records. */
+export const countRecords = (log: RecordLog): number =>
+	countRows(log.records, ROW_BYTES);
+
+/** Number of requests whose records were dropped. */
+export const countForgotten = (log: RecordLog): number =>
+	countRows(log.forgotten, FORGOTTEN_BYTES);
+
 /** Packs records again, for example after their entries got new indexes. */
 export const packRecords = (records: StoredRecord[]): string =>
 	Buffer.concat(records.map((record) => encodeRecord(record))).toString(
--- a/packages/programs/src/results.ts
+++ b/packages/programs/src/results.ts
@@ -34,7 +34,7 @@
 	reason: string;
 };
 
-/** Why a command had no effect. The verdict of every refusal is `not-run`. */
+/** Why a command had no effect. */
 export type ProgramRefusalReason =
 	| 'attempt-limit'
 	| 'attempt-out-of-order'
@@ -48,6 +48,8 @@
 	| 'program-ended'
 	| 'program-exists'
 	| 'program-unknown'
+	| 'refusal-limit'
+	| 'request-forgotten'
 	| 'request-id-reused'
 	| 'token-budget'
 	| 'turn-limit'
@@ -121,7 +123,8 @@
 	| {
 			outcome: 'refused';
 			reason: ProgramRefusalReason;
-			verdict: Extract<Verdict, 'not-run'>;
+			/** `may-have-run` when the machine no longer knows whether the request ran. */
+			verdict: Extract<Verdict, 'not-run' | 'may-have-run'>;
 			message: string;
 			/** Set when the refusal also ended the program because a limit was used up. */
 			ended?: boolean;
--- a/packages/programs/src/settle-call.ts
+++ b/packages/programs/src/settle-call.ts
@@ -82,11 +82,7 @@
 		),
 		entryIndex,
 	};
-	program.records = appendRecord(
-		program.records,
-		record,
-		state.limits.recordsPerProgram,
-	);
+	appendRecord(program, record, state.limits.recordsPerProgram);
 	program.cachedTokens = command.cachedTokens ?? program.cachedTokens;
 	program.call = undefined;
 	return {
--- a/packages/programs/src/state.ts
+++ b/packages/programs/src/state.ts
@@ -15,6 +15,8 @@
 	recordsPerProgram: number;
 	/** Request records of idempotent calls kept for an ended program. */
 	recordsPerEndedProgram: number;
+	/** Requests whose records may be dropped before the program ends; bounds the memory of a loop. */
+	forgottenPerProgram: number;
 	/** Attempts of one call, the first included. */
 	attemptsPerCall: number;
 	/** Sub-agents of one program over its life. */
@@ -30,6 +32,7 @@
 	historySizeBytes: 4 * 1024 * 1024,
 	recordsPerProgram: 16,
 	recordsPerEndedProgram: 4,
+	forgottenPerProgram: 4000,
 	attemptsPerCall: 8,
 	childrenPerProgram: 1000,
 	tombstoneRetentionMs: 600_000,
@@ -52,7 +55,7 @@
 	entriesBefore: number;
 };
 
-/** An engine that may hold memory for the program, and the last turn that used it. */
+/** An engine that may hold memory for the program, and a number for the last attempt that used it. */
 export type Hold = {upstreamId: UpstreamId; turn: number};
 
 /** Part of the budget given to a sub-agent; `returned` stays so that a late copy has no effect. */
@@ -84,6 +87,8 @@
 	cachedTokens: number;
 	/** Packed rows; see `request-records.ts`. */
 	records: string;
+	/** Hashes of the request ids whose records were dropped. */
+	forgotten: string;
 	/** Packed rows; see `history-entries.ts`. */
 	entries: string;
 	call?: OpenCall;
--- a/packages/programs/src/step-programs.test.ts
+++ b/packages/programs/src/step-programs.test.ts
@@ -1,6 +1,11 @@
 import {asId, type ProgramId, type RequestId} from '@marjoramcove/types';
 import {describe, expect, it} from 'vitest';
-import {createProgramsState, describeProgram, stepPrograms} from './index.ts';
+import {
+	createProgramsState,
+	describeProgram,
+	pendingReleases,
+	stepPrograms,
+} from './index.ts';
 import {acceptCommand, openCommand, settleCommand} from './commands.fixture.ts';
 
 const programId = asId<ProgramId>('p0-a');
@@ -27,4 +32,38 @@
 			expect(requestId).toBe(accept.requestId);
 		});
 	});
+
+	describe('record-release', () => {
+		it('ignores a late copy after the program used the engine again and ended (failure: engine memory without a hold)', () => {
+			const state = createProgramsState(0);
+			for (const command of [
+				openCommand({}),
+				acceptCommand({}),
+				settleCommand({}),
+			]) {
+				stepPrograms(state, command);
+			}
+
+			const [hold] = describeProgram(state, programId)!.holds;
+			const release = {
+				type: 'record-release',
+				nowMs: 1000,
+				programId,
+				...hold!,
+			} as const;
+			stepPrograms(state, release);
+			stepPrograms(state, acceptCommand({requestId: asId<RequestId>('r2')}));
+			stepPrograms(state, {
+				type: 'end-program',
+				nowMs: 2000,
+				programId,
+				reason: 'ended',
+			});
+			for (const copy of [release, {...release, heldTurn: undefined}]) {
+				expect(stepPrograms(state, copy).result.outcome).toBe('ignored');
+			}
+
+			expect(pendingReleases(state)).toHaveLength(1);
+		});
+	});
 });
