--- a/packages/programs/src/program-model.fixture.ts
+++ b/packages/programs/src/program-model.fixture.ts
@@ -14,7 +14,6 @@
 	encodePrograms,
 	hashHistoryContent,
 	historyEntries,
-	isProgramLive,
 	type OpenCallDescription,
 	openCarves,
 	openIntents,
@@ -560,7 +559,7 @@
 	#checkHistory(programId: ProgramId): void {
 		const state = this.#shardOf(programId);
 		const expected = this.#history.get(programId);
-		if (expected && isProgramLive(state, programId)) {
+		if (expected && describeProgram(state, programId)) {
 			const texts = historyEntries(state, programId).map((entry) =>
 				this.#read(programId, entry),
 			);
--- a/packages/programs/src/request-records.ts
+++ b/packages/programs/src/request-records.ts
@@ -172,9 +172,3 @@
 /** Number of requests whose records were dropped. */
 export const countForgotten = (log: RecordLog): number =>
 	countRows(log.forgotten, FORGOTTEN_BYTES);
-
-/** Packs records again, for example after their entries got new indexes. */
-export const packRecords = (records: StoredRecord[]): string =>
-	Buffer.concat(records.map((record) => encodeRecord(record))).toString(
-		'latin1',
-	);
