--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -6,6 +6,7 @@
 import {plotLatency} from './plot-latency.ts';
 import {formatMarkdown, formatTable} from './print-table.ts';
 import {averageRows, type Row} from './row.ts';
+import {runLive} from './run-live.ts';
 import {runFailures} from './run-failures.ts';
 import {runScenario} from './run-scenario.ts';
 import {runTarget, TARGET_COLUMNS} from './run-target.ts';
@@ -64,6 +65,11 @@
 			type: 'string',
 			describe: 'Comma-separated loads to run; all of the scenario when absent',
 		})
+		.option('live', {
+			type: 'boolean',
+			default: false,
+			describe: 'Drive real daemons at a smaller size, in real time',
+		})
 		.option('out', {type: 'string', describe: 'File for the rows as JSON'})
 		.option('plots', {type: 'string', describe: 'Folder for SVG plots'})
 		.option('markdown', {
@@ -71,7 +77,7 @@
 			default: false,
 			describe: 'Print Markdown tables',
 		})
-		.check(({seed, seeds, loads, cacheTokens}) => {
+		.check(({seed, seeds, loads, cacheTokens, live, scenario}) => {
 			if (
 				!Number.isSafeInteger(seed) ||
 				!Number.isSafeInteger(seeds) ||
@@ -82,6 +88,10 @@
 				);
 			}
 
+			if (live && scenario !== 'baramyeon' && scenario !== 'piatothiki') {
+				throw new Error('--live needs the scenario baramyeon or piatothiki.');
+			}
+
 			if (loads?.split(',').some((load) => !(Number(load) > 0))) {
 				throw new Error('--loads must be positive numbers, such as 0.9,1.1.');
 			}
@@ -98,6 +108,7 @@
 		.parseSync();
 
 type SeedOptions = {
+	live: boolean;
 	seed: number;
 	policies?: readonly string[];
 	loads?: number[];
@@ -116,7 +127,14 @@
 	},
 });
 
-const runSeed = (name: ScenarioName, options: SeedOptions): Row[] => {
+const runSeed = async (
+	name: ScenarioName,
+	options: SeedOptions,
+): Promise<Row[]> => {
+	if (options.live) {
+		return runLive(name === 'piatothiki' ? PIATOTHIKI : BARAMYEON, options);
+	}
+
 	switch (name) {
 		case 'baramyeon': {
 			return runScenario(adaptScenario(BARAMYEON, options), options);
@@ -153,19 +171,20 @@
 	}
 };
 
-const main = (): void => {
+const main = async (): Promise<void> => {
 	const {seed, seeds, policies, loads, cacheTokens, ...rest} = readArguments();
 	const {out, plots, markdown} = rest;
 	const name = rest.scenario as ScenarioName;
 	const rows: Row[] = [];
 	for (let offset = 0; offset < seeds; offset++) {
 		rows.push(
-			...runSeed(name, {
+			...(await runSeed(name, {
 				seed: seed + offset,
 				policies: policies?.split(','),
 				loads: loads?.split(',').map(Number),
 				cacheTokens,
-			}),
+				live: rest.live,
+			})),
 		);
 	}
 
@@ -182,4 +201,4 @@
 	}
 };
 
-main();
+await main();
--- a/packages/measure/src/measure.test.ts
+++ b/packages/measure/src/measure.test.ts
@@ -2,9 +2,11 @@
 import {describe, expect, it} from 'vitest';
 import {planFault, FAULTS} from './faults.ts';
 import {computeFigures, readQuantile} from './figures.ts';
+import {scaleScenario} from './live-plan.ts';
 import {MarjoramcovePolicy} from './marjoramcove-policy.ts';
 import {PrefixCache} from './prefix-cache.ts';
 import {averageRows} from './row.ts';
+import {LIVE_BUDGET} from './run-live.ts';
 import {readRecovery} from './run-failures.ts';
 import {runPolicy} from './run-policy.ts';
 import {createPolicies, runScenario} from './run-scenario.ts';
@@ -78,6 +80,27 @@
 	});
 });
 
+describe('scaleScenario', () => {
+	it('draws programs that their budget covers, or a live run measures refusals only', () => {
+		const live = scaleScenario(BARAMYEON);
+		for (const {chain} of drawWorkload({...live, load: 1.1, seed: 1})) {
+			const prompts = chain.turns.map((_, turn) =>
+				chain.turns
+					.slice(0, turn + 1)
+					.reduce(
+						(sum, {newTokens, completionTokens}) =>
+							sum + newTokens + completionTokens,
+						0,
+					),
+			);
+			expect(prompts.reduce((sum, tokens) => sum + tokens, 0)).toBeLessThan(
+				LIVE_BUDGET.tokens,
+			);
+			expect(chain.turns.length).toBeLessThanOrEqual(LIVE_BUDGET.turns);
+		}
+	});
+});
+
 describe('VirtualClock', () => {
 	it('runs timers by time and equal times in the order of creation, or runs are not repeatable', () => {
 		fc.assert(
--- a/packages/measure/src/row.ts
+++ b/packages/measure/src/row.ts
@@ -19,11 +19,14 @@
 	{refusedByReason, ...figures}: Figures,
 ): Row => {
 	const row: Row = {...key, ...figures};
+	let others = figures.refusedPrograms;
 	for (const reason of ['overloaded', 'deadline-unreachable']) {
-		row[`refused${toPascalCase(reason)}Programs`] =
-			refusedByReason[reason] ?? 0;
+		const count = refusedByReason[reason] ?? 0;
+		row[`refused${toPascalCase(reason)}Programs`] = count;
+		others -= count;
 	}
 
+	row.refusedOtherPrograms = others;
 	return row;
 };
 
--- /dev/null
+++ b/packages/measure/src/run-live.ts
@@ -0,0 +1,150 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Answer, errorOf, TestBed} from '@marjoramcove/test-support';
+import {computeFigures} from './figures.ts';
+import {scaleScenario} from './live-plan.ts';
+import {type Row, toRow} from './row.ts';
+import type {Scenario} from './scenarios.ts';
+import type {ProgramRecord, RunRecord} from './simulation.ts';
+import {drawWorkload, type ProgramPlan, type Turn} from './workload.ts';
+
+const DAEMONS = 5;
+const ENTRY_DAEMONS = ['d4', 'd5'];
+/** Characters of one token of the stand-in engine. */
+const CHARACTERS_PER_TOKEN = 4;
+/** Pauses that are worth an announcement. */
+const ANNOUNCED_PAUSE_MS = 200;
+/** Budget that each program of a live run asks for. */
+export const LIVE_BUDGET = {tokens: 300_000, turns: 200, wallTimeMs: 300_000};
+
+type Usage = {
+	prompt_tokens: number;
+	completion_tokens: number;
+	prompt_tokens_details?: {cached_tokens?: number};
+};
+
+const composeMessage = (turn: Turn, index: number): string => {
+	const request = `turn ${index} [tokens=${turn.completionTokens}]`;
+	const length = Math.max(
+		request.length,
+		turn.newTokens * CHARACTERS_PER_TOKEN,
+	);
+	return request.padStart(length, 'what is the rule for this kite ');
+};
+
+/** Drives one program turn by turn; returns the reason when the daemon refuses. */
+const driveProgram = async (
+	bed: TestBed,
+	plan: ProgramPlan,
+	run: RunRecord,
+): Promise<string | undefined> => {
+	const caller = bed.caller(ENTRY_DAEMONS[plan.index % ENTRY_DAEMONS.length]!);
+	const readReason = (answer: Answer) =>
+		errorOf(answer)?.reason ?? `status-${answer.status}`;
+	const opened = await caller.tryOpenProgram({
+		labels: {agent: plan.agent.name},
+		callerId: `caller-${plan.caller}`,
+		budget: LIVE_BUDGET,
+	});
+	if (opened.status !== 201) {
+		return readReason(opened);
+	}
+
+	const programId = String(opened.body.programId);
+	let historyTokens = 0;
+	for (const [index, turn] of plan.chain.turns.entries()) {
+		const answer = await caller.callModel(
+			programId,
+			composeMessage(turn, index),
+			{timeoutMs: 120_000},
+		);
+		if (answer.status !== 200) {
+			await caller.endProgram(programId);
+			return readReason(answer);
+		}
+
+		const usage = answer.body.usage as Usage;
+		const cachedTokens = usage.prompt_tokens_details?.cached_tokens ?? 0;
+		run.promptTokens += usage.prompt_tokens;
+		run.wastedTokens += Math.max(0, historyTokens - cachedTokens);
+		historyTokens = usage.prompt_tokens + usage.completion_tokens;
+		if (index < plan.chain.turns.length - 1) {
+			if (turn.pauseMs > ANNOUNCED_PAUSE_MS) {
+				await caller.pauseProgram(programId, Math.round(turn.expectedPauseMs));
+			}
+
+			await sleep(turn.pauseMs);
+		}
+	}
+
+	await caller.endProgram(programId);
+	return undefined;
+};
+
+const drivePrograms = async (
+	bed: TestBed,
+	programs: ProgramPlan[],
+): Promise<RunRecord> => {
+	const run: RunRecord = {
+		programs: [],
+		calls: [],
+		promptTokens: 0,
+		wastedTokens: 0,
+		unusedCacheTokenSeconds: 0,
+		endedAtMs: 0,
+	};
+	const startedAtMs = performance.now();
+	const drive = async (plan: ProgramPlan): Promise<ProgramRecord> => {
+		await sleep(plan.arrivalMs);
+		try {
+			const refusedReason = await driveProgram(bed, plan, run);
+			const finishedAtMs = performance.now() - startedAtMs;
+			return refusedReason ? {plan, refusedReason} : {plan, finishedAtMs};
+		} catch (error) {
+			return {plan, refusedReason: `failed: ${(error as Error).message}`};
+		}
+	};
+
+	run.programs = await Promise.all(programs.map(async (plan) => drive(plan)));
+	run.endedAtMs = performance.now() - startedAtMs;
+	return run;
+};
+
+/** Runs a scenario at a smaller size against real daemons with stand-in engines, in real time. */
+export const runLive = async (
+	base: Scenario,
+	{seed}: {seed: number},
+): Promise<Row[]> => {
+	const scenario = scaleScenario(base);
+	const {model, arrivals} = scenario;
+	const rows: Row[] = [];
+	for (const load of scenario.loads) {
+		const bed = await TestBed.start({
+			daemonCount: DAEMONS,
+			engineCount: scenario.engines,
+			settings: {
+				policy: {
+					latencyWeight: scenario.settings.latencyWeight,
+					cacheWeight: scenario.settings.cacheWeight,
+				},
+			},
+			engineOptions: {
+				prefillTokensPerSecond: 1000 / model.prefillMsPerToken,
+				decodeTokensPerSecond: 1000 / model.stepBaseMs,
+				slots: model.slots,
+				kvCapacityTokens: model.cacheCapacityTokens,
+			},
+		});
+		try {
+			const programs = drawWorkload({...scenario, load, seed});
+			const run = await drivePrograms(bed, programs);
+			const figures = computeFigures(run, arrivals.measuredMs);
+			const key = {scenario: scenario.name, load, seed};
+			rows.push(toRow({...key, policy: 'marjoramcove'}, figures));
+			console.error(`load ${load}: ${JSON.stringify(figures.refusedByReason)}`);
+		} finally {
+			await bed.stop();
+		}
+	}
+
+	return rows;
+};
