End a stream for plain clients instead of mixing two attempts

Cause: found by reading. When two entry daemons report a lost attempt with different prefixes, the new attempt may not continue the text that one of them has sent; the event restart is unknown to clients of the plain OpenAI API, which would append the new text to the old one. Ruled out: buffering whole answers for such clients, which costs them the first token latency of every call for a rare case. Conclusion: only callers that send x-marjoramcove-restart: accept or last-event-id get the event.

--- a/packages/cli/src/commands/program.ts
+++ b/packages/cli/src/commands/program.ts
@@ -73,6 +73,7 @@
 	const headers = {
 		'x-marjoramcove-program': argv.id,
 		'x-marjoramcove-request': requestId,
+		'x-marjoramcove-restart': 'accept',
 		...(argv.turn !== undefined && {'x-marjoramcove-turn': String(argv.turn)}),
 	};
 	try {
--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -282,6 +282,9 @@
 		id: `${input.programId}:${input.requestId}`,
 		model: 'model' in input.target ? input.target.model : '',
 		headers: callHeaders(input),
+		acceptsRestart:
+			resume !== undefined ||
+			headerOf(request, 'x-marjoramcove-restart') === 'accept',
 		heartbeatMs: core.context.settings.timing.callerHeartbeatMs,
 		maxBufferedBytes: core.context.settings.limits.answerSizeBytes,
 		onSlowCaller() {
--- a/packages/daemon/src/entry/sse-answer.ts
+++ b/packages/daemon/src/entry/sse-answer.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {MarjoramcoveError} from '@marjoramcove/errors';
 import type {AnswerReader, FollowedCall} from './call-follower.ts';
 import {toCallerError} from './http-answers.ts';
 
@@ -7,6 +8,8 @@
 	model: string;
 	headers: Record<string, string>;
 	heartbeatMs: number;
+	/** Whether the caller understands the event `restart`; clients of the plain OpenAI API do not. */
+	acceptsRestart: boolean;
 	/** Unsent bytes above which the connection of a slow caller is closed; it can resume. */
 	maxBufferedBytes: number;
 	onSlowCaller: () => void;
@@ -18,6 +21,7 @@
 	readonly #options: SseOptions;
 	#timer: NodeJS.Timeout | undefined;
 	#lastId = '';
+	#isBroken = false;
 
 	constructor(response: ServerResponse, options: SseOptions) {
 		this.#response = response;
@@ -41,8 +45,24 @@
 		this.#event(this.#chunk({content: text}, null));
 	}
 
+	/** The text sent so far is void. A caller that would append the new text to it gets an error instead. */
 	onRestart(): void {
-		this.#write('event: restart\ndata: {}\n\n');
+		if (this.#options.acceptsRestart) {
+			this.#write('event: restart\ndata: {}\n\n');
+			return;
+		}
+
+		this.fail(
+			new MarjoramcoveError(
+				'Another attempt gave an answer that does not continue the text sent so far.',
+				{
+					reason: 'answer-restarted',
+					verdict: 'may-have-run',
+					hint: 'Discard the text and send the request again with the same request id.',
+				},
+			),
+		);
+		this.#isBroken = true;
 	}
 
 	/** Sends the last chunk with usage, then the end mark. */
@@ -88,7 +108,7 @@
 
 	#write(text: string): void {
 		const response = this.#response;
-		if (response.destroyed) {
+		if (response.destroyed || this.#isBroken) {
 			return;
 		}
 
--- a/packages/test-support/src/bed/caller.ts
+++ b/packages/test-support/src/bed/caller.ts
@@ -219,6 +219,7 @@
 	'x-marjoramcove-program': programId,
 	...(options.requestId !== undefined && {
 		'x-marjoramcove-request': options.requestId,
+		'x-marjoramcove-restart': 'accept',
 	}),
 	...(options.turn !== undefined && {
 		'x-marjoramcove-turn': String(options.turn),
