Prove the configuration machine and the lease under racing operators

The lease model, with a slow clock and suspended VMs, found a fault: several suspensions below freezeThresholdMs added up, because the monotonic clock stands still meanwhile, and a daemon worked with an old revision for longer than one lease. The lease now adds the time that the wall clock ran ahead; isLeaseValid takes the wall clock as an optional third argument for that.

--- /dev/null
+++ b/packages/configuration/src/configuration-model.fixture.ts
@@ -0,0 +1,218 @@
+import {
+	changesSince,
+	configurationDigest,
+	type ConfigurationCommand,
+	type ConfigurationResult,
+	type ConfigurationUpdate,
+	ConfigurationView,
+	createConfigurationState,
+	decodeConfiguration,
+	encodeConfiguration,
+	listResources,
+	type Resource,
+	stepConfiguration,
+} from './index.ts';
+import {changeOf, engineOf, ruleOf, selectorOf} from './resources.fixture.ts';
+import {applyChange, sortResources} from './state.ts';
+
+/** Deliberate faults of the harness; each must be detected. */
+export type ConfigurationFault =
+	| 'accept-stale-revision'
+	| 'forget-fencing'
+	| 'forget-operations'
+	| 'lose-change'
+	| 'lose-update'
+	| 'view-goes-back';
+
+/** One random choice: what happens, to which item, and how well it goes (0 to 99). */
+export type ConfigurationChoice = {action: number; pick: number; luck: number};
+
+/** Racing operators, a replicated configuration that changes owners, and views that lag. */
+export class ConfigurationModel {
+	readonly problems = new Set<string>();
+	readonly #fault: ConfigurationFault | undefined;
+	#state = createConfigurationState();
+	#views = [0, 1, 2].map(() => new ConfigurationView());
+	readonly #expected = new Map<string, Resource>();
+	readonly #outcomes = new Map<string, string>();
+	readonly #winners = new Map<number, string>();
+	readonly #grants = new Map<string, number>();
+	#pool: ConfigurationCommand[] = [];
+	readonly #updates: Array<{view: number; update: ConfigurationUpdate}> = [];
+	#operatorRevisions = [0, 0, 0];
+	#counter = 0;
+	#term = 0;
+
+	constructor(fault?: ConfigurationFault) {
+		this.#fault = fault;
+	}
+
+	/** Runs the choices, then lets everything arrive. */
+	run(choices: ConfigurationChoice[]): string[] {
+		for (const choice of choices) {
+			this.#act(choice);
+		}
+
+		for (const [index, view] of this.#views.entries()) {
+			this.#updateView(index, changesSince(this.#state, view.digest.revision));
+			this.#report(
+				view.digest.hash !== this.#state.hash &&
+					this.#fault !== 'view-goes-back',
+				'view does not converge',
+			);
+		}
+
+		return [...this.problems];
+	}
+
+	#act({action, pick, luck}: ConfigurationChoice): void {
+		if (action < 30) {
+			this.#change(pick, luck);
+		} else if (action < 35) {
+			this.#operatorRevisions[pick % 3] = this.#state.revision;
+		} else if (action < 40) {
+			this.#term += luck % 2;
+			this.#pool.push({
+				type: 'grant-fencing',
+				daemonId: `d${this.#term}`,
+				term: this.#term,
+			});
+		} else if (action < 70) {
+			this.#deliver(pick, luck);
+		} else if (action < 75) {
+			this.#changeOwner();
+		} else if (action < 85) {
+			const view = pick % 3;
+			const {revision} = this.#views[view]!.digest;
+			this.#updates.push({
+				view,
+				update: changesSince(this.#state, luck < 10 ? -1 : revision),
+			});
+		} else if (this.#updates.length > 0) {
+			const {view, update} = this.#updates[pick % this.#updates.length]!;
+			this.#updateView(view, update);
+		}
+	}
+
+	/** An operator sends a change that is based on the revision that it last saw. */
+	#change(pick: number, luck: number): void {
+		const base = this.#operatorRevisions[pick % 3]!;
+		const name = `r${luck % 5}`;
+		const resource =
+			luck < 50
+				? engineOf(name, {fleet: `f${pick}`})
+				: luck < 80
+					? selectorOf(name, {priority: pick})
+					: ruleOf(name, {}, {tier: `t${pick}`});
+		this.#pool.push(
+			changeOf(`o${this.#counter++}`, base, [
+				pick % 5 === 0
+					? {type: 'delete', kind: 'Upstream', name}
+					: {type: 'apply', resource},
+			]),
+		);
+	}
+
+	/** Applies one command of the pool; with some luck a copy stays. */
+	#deliver(pick: number, luck: number): void {
+		const command = this.#pool[pick % Math.max(1, this.#pool.length)];
+		if (!command) {
+			return;
+		}
+
+		if (luck < 70) {
+			this.#pool = this.#pool.filter((candidate) => candidate !== command);
+		}
+
+		const isStale =
+			command.type === 'change' && this.#fault === 'accept-stale-revision';
+		const {state, result} = stepConfiguration(
+			this.#state,
+			isStale ? {...command, baseRevision: this.#state.revision} : command,
+		);
+		this.#state = state;
+		this.#observe(command, result);
+	}
+
+	#observe(command: ConfigurationCommand, result: ConfigurationResult): void {
+		if (result.outcome === 'fencing-granted') {
+			const key = JSON.stringify(command);
+			const known = this.#grants.get(key);
+			const isNew = [...this.#grants.values()].every(
+				(number) => number < result.fencingNumber,
+			);
+			this.#report(
+				known === undefined ? !isNew : known !== result.fencingNumber,
+				'fencing number reused',
+			);
+			this.#grants.set(key, result.fencingNumber);
+		} else if (command.type === 'change') {
+			const kind =
+				result.outcome === 'applied'
+					? `applied ${result.revision}`
+					: result.outcome;
+			const first = this.#outcomes.get(command.operationId) ?? kind;
+			this.#outcomes.set(command.operationId, first);
+			this.#report(first !== kind, 'outcome of an operation changed');
+			if (result.outcome === 'applied' && !result.repeated) {
+				this.#report(
+					this.#winners.has(command.baseRevision),
+					'two changes won on one base revision',
+				);
+				this.#winners.set(command.baseRevision, command.operationId);
+				for (const change of command.changes) {
+					applyChange(this.#expected, change);
+				}
+			}
+
+			this.#report(
+				JSON.stringify(listResources(this.#state)) !==
+					JSON.stringify(sortResources(this.#expected.values())),
+				'resources differ',
+			);
+		}
+	}
+
+	#changeOwner(): void {
+		const state = decodeConfiguration(encodeConfiguration(this.#state));
+		if (this.#fault === 'forget-operations') {
+			state.operations.clear();
+		} else if (this.#fault === 'forget-fencing') {
+			state.fencing = {number: 0, term: 0, daemonId: ''};
+		} else if (this.#fault === 'lose-update' && state.resources.size > 0) {
+			const [key] = state.resources.keys();
+			state.resources.delete(key!);
+		}
+
+		this.#state = state;
+	}
+
+	#updateView(index: number, update: ConfigurationUpdate): void {
+		const before = this.#views[index]!.digest;
+		if (this.#fault === 'view-goes-back' && 'full' in update) {
+			this.#views[index] = new ConfigurationView();
+		}
+
+		const view = this.#views[index]!;
+		view.applyUpdate(
+			this.#fault === 'lose-change' && 'changes' in update
+				? {...update, changes: update.changes.slice(1)}
+				: update,
+		);
+		this.#report(view.digest.revision < before.revision, 'view went back');
+		const isCurrent =
+			view.digest.revision === configurationDigest(this.#state).revision;
+		this.#report(
+			isCurrent &&
+				JSON.stringify(view.upstreams) !==
+					JSON.stringify(listResources(this.#state, 'Upstream')),
+			'view differs',
+		);
+	}
+
+	#report(isProblem: boolean, problem: string): void {
+		if (isProblem) {
+			this.problems.add(problem);
+		}
+	}
+}
--- /dev/null
+++ b/packages/configuration/src/configuration-model.test.ts
@@ -0,0 +1,68 @@
+import {InvariantViolationError} from '@marjoramcove/errors';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	type ConfigurationChoice,
+	type ConfigurationFault,
+	ConfigurationModel,
+} from './configuration-model.fixture.ts';
+
+const choices = fc.array(
+	fc.record<ConfigurationChoice>({
+		action: fc.nat(99),
+		pick: fc.nat(999),
+		luck: fc.nat(99),
+	}),
+	{minLength: 100, maxLength: 300, size: 'max'},
+);
+
+const runs = {seed: 20_261_204, numRuns: 150, endOnFailure: true};
+
+/** Problems of a run; an invariant that stops the machine counts under its name. */
+const findProblems = (
+	sequence: ConfigurationChoice[],
+	fault?: ConfigurationFault,
+): string[] => {
+	const model = new ConfigurationModel(fault);
+	try {
+		return model.run(sequence);
+	} catch (error) {
+		if (error instanceof InvariantViolationError) {
+			return [...model.problems, error.invariant];
+		}
+
+		throw error;
+	}
+};
+
+describe('configuration under racing operators', () => {
+	it('has one outcome per operation and views that never go back (failure: I5 or I7 breaks)', () => {
+		fc.assert(
+			fc.property(choices, (sequence) => {
+				expect(findProblems(sequence)).toEqual([]);
+			}),
+			runs,
+		);
+	});
+
+	it.each<[ConfigurationFault, string]>([
+		['accept-stale-revision', 'two changes won on one base revision'],
+		['forget-fencing', 'fencing number reused'],
+		['forget-operations', 'outcome of an operation changed'],
+		['lose-change', 'changes-lead-to-hash'],
+		['lose-update', 'resources differ'],
+		['view-goes-back', 'view went back'],
+	])(
+		'detects the fault %s (failure: the check above cannot fail)',
+		(fault, symptom) => {
+			const found = fc.check(
+				fc.property(
+					choices,
+					(sequence) => !findProblems(sequence, fault).includes(symptom),
+				),
+				runs,
+			);
+			expect(String(found.errorInstance)).toContain('returning false');
+		},
+	);
+});
--- a/packages/configuration/src/lease.ts
+++ b/packages/configuration/src/lease.ts
@@ -18,10 +18,13 @@
 	heartbeatsInFlight: 64,
 };
 
-/** Lease of a daemon on its configuration; the times are those of its monotonic clock. */
+/**
+ * Lease of a daemon on its configuration. Send times and the end of the lease are on the monotonic
+ * clock plus the time for which the VM was suspended.
+ */
 export type LeaseState = {
 	settings: LeaseSettings;
-	/** Send times of the heartbeats that have no answer yet. */
+	/** Send times of the heartbeats without an answer, with the suspended time added. */
 	sentAtMs: Map<number, number>;
 	nextSequence: number;
 	validUntilMs: number;
@@ -33,6 +36,8 @@
 	lastEventMs: number;
 	/** Difference between the wall clock and the monotonic clock at the last tick. */
 	wallOffsetMs?: number;
+	/** Time for which the monotonic clock stood still while the wall clock ran. */
+	suspendedMs: number;
 };
 
 export type LeaseEvent =
@@ -65,24 +70,48 @@
 	validUntilMs: Number.NEGATIVE_INFINITY,
 	appliedRevision: 0,
 	lastEventMs: Number.NEGATIVE_INFINITY,
+	suspendedMs: 0,
 });
 
+/**
+ * Time for which the VM was suspended since the last tick. A step of the wall clock forward counts as
+ * well and only shortens the lease; a step back counts as nothing.
+ */
+const suspendedSince = (
+	{wallOffsetMs}: LeaseState,
+	nowMs: number,
+	wallMs: number | undefined,
+): number =>
+	wallMs === undefined || wallOffsetMs === undefined
+		? 0
+		: Math.max(0, wallMs - nowMs - wallOffsetMs);
+
 /**
  * Whether the daemon may take new work. A gap since the last event that counts as a freeze makes the
  * lease invalid even before the next tick is handled.
  *
+ * @param wallMs - wall clock, which also shows that the VM was suspended since the last tick.
  * @example
  * ```ts
- * if (!isLeaseValid(lease, nowMs)) refuse('configuration-lease-expired');
+ * if (!isLeaseValid(lease, performance.now(), Date.now())) refuse('configuration-lease-expired');
  * ```
  */
-export const isLeaseValid = (state: LeaseState, nowMs: number): boolean =>
-	nowMs < state.validUntilMs &&
-	nowMs - state.lastEventMs <= state.settings.freezeThresholdMs;
+export const isLeaseValid = (
+	state: LeaseState,
+	nowMs: number,
+	wallMs?: number,
+): boolean => {
+	const suspendedMs = suspendedSince(state, nowMs, wallMs);
+	const elapsedMs = nowMs + state.suspendedMs + suspendedMs;
+	return (
+		elapsedMs < state.validUntilMs &&
+		nowMs - state.lastEventMs + suspendedMs <= state.settings.freezeThresholdMs
+	);
+};
 
 /**
- * Forgets the lease and all heartbeats sent before a freeze. While the VM was suspended, the
- * monotonic clock may have stood still, so no earlier send time can be trusted.
+ * Forgets the lease and all heartbeats sent before a freeze, so that the daemon takes no work before
+ * it has heard from the leader again.
  */
 const dropLease = (state: LeaseState): void => {
 	state.validUntilMs = Number.NEGATIVE_INFINITY;
@@ -98,9 +127,10 @@
 ): number => {
 	let gapMs = nowMs - state.lastEventMs;
 	if (event.type === 'tick' && event.wallMs !== undefined) {
-		const offsetMs = event.wallMs - nowMs;
-		gapMs = Math.max(gapMs, offsetMs - (state.wallOffsetMs ?? offsetMs));
-		state.wallOffsetMs = offsetMs;
+		const suspendedMs = suspendedSince(state, nowMs, event.wallMs);
+		gapMs += suspendedMs;
+		state.suspendedMs += suspendedMs;
+		state.wallOffsetMs = event.wallMs - nowMs;
 	}
 
 	return Number.isFinite(gapMs) && gapMs > state.settings.freezeThresholdMs
@@ -181,7 +211,9 @@
 		}
 
 		case 'send-heartbeat': {
-			actions.push(...sendHeartbeat(state, state.lastEventMs));
+			actions.push(
+				...sendHeartbeat(state, state.lastEventMs + state.suspendedMs),
+			);
 			break;
 		}
 
