--- a/packages/programs/src/end-program.ts
+++ b/packages/programs/src/end-program.ts
@@ -29,8 +29,8 @@
 		content: `The call was cancelled: ${reason}.`,
 	});
 	program.spentTokens += call.reservedTokens;
-	program.records = appendRecord(
-		program.records,
+	appendRecord(
+		program,
 		{
 			idHash: hashRequestId(call.requestId),
 			bodyHash: call.bodyHash,
@@ -62,10 +62,7 @@
  * the tombstone is dropped.
  */
 const shrinkToTombstone = (state: ProgramsState, program: Program): void => {
-	program.records = dropOldRecords(
-		program.records,
-		state.limits.recordsPerEndedProgram,
-	);
+	dropOldRecords(program, state.limits.recordsPerEndedProgram);
 };
 
 /** Ends a program: cancels its open call; its holds become pending releases. */
