--- /dev/null
+++ b/packages/integration/src/i4-whole-answers.test.ts
@@ -0,0 +1,172 @@
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import {
+	Caller,
+	generateText,
+	type StreamResult,
+	TcpProxy,
+	TestBed,
+	waitFor,
+} from '@marjoramcove/test-support';
+import {showLogsOnFailure} from './helpers/show-logs.ts';
+
+describe('I4 whole answers', () => {
+	let bed: TestBed;
+
+	beforeAll(async () => {
+		bed = await TestBed.start({daemonCount: 6, engineCount: 2});
+	});
+
+	afterEach(async (context) => {
+		showLogsOnFailure(bed, context);
+		for (const daemon of bed.cluster.daemons) {
+			if (!daemon.running) {
+				daemon.start();
+			}
+		}
+
+		for (const engine of bed.engines) {
+			engine.clearFaults();
+			if (!engine.running) {
+				await engine.start();
+			}
+		}
+
+		await bed.cluster.ready();
+	});
+
+	afterAll(async () => {
+		await bed.stop();
+	});
+
+	/** Sends the same request elsewhere until its whole answer has arrived. */
+	const resume = async (
+		daemonId: string,
+		[programId, requestId, message]: [string, string, string],
+		partial: StreamResult,
+	): Promise<string> =>
+		waitFor(
+			'the whole answer',
+			async () => {
+				const call = bed.caller(daemonId).streamModel(programId, message, {
+					requestId,
+					...(partial.lastEventId !== '' && {
+						lastEventId: partial.lastEventId,
+					}),
+				});
+				const result = await call.finished;
+				if (!result.complete) {
+					throw new Error(JSON.stringify(result));
+				}
+
+				return result.restarted ? result.text : partial.text + result.text;
+			},
+			{timeoutMs: 30_000},
+		);
+
+	const expectRecorded = async (programId: string, text: string) => {
+		const history = await waitFor('the history', async () =>
+			bed.caller('d4').readHistory(programId),
+		);
+		expect(history.at(-1)).toEqual({role: 'assistant', content: text});
+	};
+
+	it('gives the rest of an answer at another daemon after the entry is killed', async () => {
+		// Guards against an answer that dies with the entry, and against lost or doubled bytes at the seam.
+		const message = 'Entry dies. [tokens=800]';
+		const programId = await bed.caller('d6').openProgram();
+		const call = bed
+			.caller('d6')
+			.streamModel(programId, message, {requestId: 'r1'});
+		await waitFor('some bytes', () => call.current.text.length > 100);
+		await bed.cluster.daemon('d6').kill();
+		const partial = await call.finished;
+		expect(partial.complete).toBe(false);
+		const whole = await resume('d5', [programId, 'r1', message], partial);
+		expect(whole.length).toBe(800 * 4);
+		await expectRecorded(programId, whole);
+	});
+
+	it('keeps delivered bytes a prefix of the answer when the engine dies in mid-stream', async () => {
+		// Guards against a retry that starts the text again, and against mixed answers of two engines.
+		const message = 'Engine dies. [tokens=200]';
+		const programId = await bed.caller('d6').openProgram();
+		for (const engine of bed.engines) {
+			engine.injectFault({kind: 'die-after', bytes: 4000});
+		}
+
+		const call = bed
+			.caller('d6')
+			.streamModel(programId, message, {requestId: 'r1'});
+		await waitFor('the death of an engine', () =>
+			bed.engines.some(({running}) => !running),
+		);
+		const delivered = call.current.text;
+		const dead = bed.engines.findIndex(({running}) => !running);
+		await bed.engines[dead]!.start();
+		const result = await call.finished;
+		expect(result).toMatchObject({complete: true, restarted: false});
+		expect(result.text.startsWith(delivered)).toBe(true);
+		expect(result.text.length).toBe(200 * 4);
+		const dying = generateText(message, {
+			count: 200,
+			salt: `engine-${dead + 1}`,
+		});
+		expect(dying.startsWith(delivered)).toBe(true);
+		await expectRecorded(programId, result.text);
+	});
+
+	it('resumes at the engine when its connection goes silent', async () => {
+		// Guards against a call that waits for ever on a silent connection, and against a second prompt.
+		const message = 'Silence. [tokens=200]';
+		const programId = await bed.caller('d6').openProgram();
+		for (const engine of bed.engines) {
+			engine.injectFault({kind: 'silent-after', bytes: 3000});
+		}
+
+		const before = bed.engines.flatMap(({calls}) => calls).length;
+		const call = bed.caller('d6').streamModel(programId, message);
+		const result = await call.finished;
+		expect(result).toMatchObject({complete: true, restarted: false});
+		expect(result.text.length).toBe(200 * 4);
+		const calls = bed.engines.flatMap((engine) => engine.calls);
+		expect(calls.length - before).toBe(1);
+		await expectRecorded(programId, result.text);
+	});
+
+	it('gives the answer on a new connection when the old one goes silent', async () => {
+		// Guards against a call that is bound to the connection on which it began.
+		const message = 'Silent caller. [tokens=400]';
+		const proxy = await new TcpProxy(
+			bed.cluster.daemon('d6').httpAddress,
+		).start();
+		const silent = new Caller(proxy.address);
+		const programId = await bed.caller('d6').openProgram();
+		const call = silent.streamModel(programId, message, {requestId: 'r1'});
+		await waitFor('some bytes', () => call.current.text.length > 100);
+		proxy.silence('both', {newConnections: false});
+		const partial = {...call.current};
+		const whole = await resume('d6', [programId, 'r1', message], partial);
+		expect(whole.length).toBe(400 * 4);
+		await expectRecorded(programId, whole);
+		call.abort();
+		await silent.close();
+		await proxy.stop();
+	});
+
+	it('gives every caller its own answer when many run at once', async () => {
+		// Guards against chunks that reach the stream of another caller.
+		const results = await Promise.all(
+			Array.from({length: 12}, async (_, index) => {
+				const caller = bed.caller(`d${(index % 6) + 1}`);
+				const message = `Caller ${index}. [tokens=${50 + index}]`;
+				const programId = await caller.openProgram();
+				const result = await caller.streamModel(programId, message).finished;
+				const expected = ['engine-1', 'engine-2'].map((salt) =>
+					generateText(message, {count: 50 + index, salt}),
+				);
+				return expected.includes(result.text);
+			}),
+		);
+		expect(results).toEqual(results.map(() => true));
+	});
+});
--- a/packages/test-support/src/cluster/daemon-process.ts
+++ b/packages/test-support/src/cluster/daemon-process.ts
@@ -98,19 +98,22 @@
 		}
 	}
 
-	/** Waits until `/readyz` answers 200. */
+	/**
+	 * Waits until `/readyz` answers 200.
+	 *
+	 * @throws Error when the process exits or the time is up.
+	 */
 	async ready(timeoutMs = 30_000): Promise<void> {
 		await waitFor(
-			`${this.daemonId} to be ready`,
-			async () => {
-				if (this.exitStatus) {
-					return false;
-				}
-
-				return this.isReady();
-			},
+			`${this.daemonId} to be ready or to exit`,
+			async () => this.exitStatus !== undefined || this.isReady(),
 			{timeoutMs},
 		);
+		if (this.exitStatus) {
+			throw new Error(
+				`${this.daemonId} exited: ${JSON.stringify(this.exitStatus)}`,
+			);
+		}
 	}
 
 	async isReady(): Promise<boolean> {
--- a/packages/test-support/src/cluster/write-settings.ts
+++ b/packages/test-support/src/cluster/write-settings.ts
@@ -21,6 +21,12 @@
 	configurationLeaseMs: 2000,
 	addressTtlMs: 1500,
 	streamSilenceMs: 1500,
+	linkHeartbeatMs: 300,
+	linkTimeoutMs: 1200,
+	requestTimeoutMs: 5000,
+	openIntentSweepMs: 500,
+	healthCheckMs: 500,
+	callerHeartbeatMs: 1000,
 };
 
 /** Writes the settings file of a daemon. */
--- a/packages/test-support/src/engine/model-engine.test.ts
+++ b/packages/test-support/src/engine/model-engine.test.ts
@@ -85,8 +85,10 @@
 	describe('faults', () => {
 		it('resumes a silent stream from an offset without loss', async () => {
 			engine.injectFault({kind: 'silent-after', bytes: 300});
-			await complete({stream: true, stream_id: 's1'});
-			const resumed = await request(`${engine.url}/v1/streams/s1?offset=12`);
+			await complete({stream: true, stream_id: 'p0-a:r1:1'});
+			const resumed = await request(
+				`${engine.url}/v1/streams/p0-a%3Ar1%3A1?offset=12`,
+			);
 			expect(readContent(await resumed.body.text())).toBe(
 				generateText(prompt, {count: 40}).slice(12),
 			);
--- a/packages/test-support/src/engine/model-engine.ts
+++ b/packages/test-support/src/engine/model-engine.ts
@@ -117,6 +117,11 @@
 		this.#faults.push(fault);
 	}
 
+	/** Drops the faults that no call has met yet. */
+	clearFaults(): void {
+		this.#faults.length = 0;
+	}
+
 	/** Stops the engine and loses its memory, streams and fencing number. */
 	async crash(): Promise<void> {
 		await this.stop();
--- a/packages/test-support/src/http-stand-in.ts
+++ b/packages/test-support/src/http-stand-in.ts
@@ -94,9 +94,9 @@
 	query: Record<string, unknown>;
 };
 
-/** Path parameter of a routed request. */
+/** Decoded path parameter of a routed request; the router leaves it encoded. */
 export const readParameter = (request: RoutedRequest, name: string): string =>
-	String(request.params[name]);
+	decodeURIComponent(String(request.params[name]));
 
 /** Sends a JSON body. */
 export const sendJson = (
