--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -13,7 +13,6 @@
 import type {AcceptInput, CallState, Grant} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
 import {
-	commandTimeMs,
 	type OwnerCore,
 	refusedByMachine,
 	unknownProgram,
@@ -32,6 +31,18 @@
 			bytesPerToken,
 	);
 
+/** Limit that ends the call: its own time, or the wall time of its program. */
+const timeoutReasonOf = (
+	call: OpenCallDescription,
+	{deadlineMs}: ProgramDescription,
+): Grant['timeoutReason'] => {
+	if (call.attemptAtMs + call.timeoutMs >= deadlineMs) {
+		return 'wall-time-limit';
+	}
+
+	return call.kind === 'tool' ? 'tool-timeout' : 'call-timeout';
+};
+
 /** Accepts calls: order, selectors, budget, route and the commit of the intent. */
 export class CallAccepter {
 	readonly #core: OwnerCore;
@@ -314,7 +325,7 @@
 		const {programId, requestId, bodyHash, kind, expectedTurn} = input;
 		return {
 			type: 'accept-call' as const,
-			nowMs: commandTimeMs(),
+			nowMs: this.#core.commandTimeMs(programId),
 			programId,
 			requestId,
 			bodyHash,
@@ -372,7 +383,13 @@
 			upstreamId: call.upstreamId,
 			dispatcherId: call.dispatcherId,
 			dispatcherIncarnation: call.dispatcherIncarnation,
-			timeoutMs: Math.max(0, call.attemptAtMs + call.timeoutMs - Date.now()),
+			timeoutMs: Math.max(
+				0,
+				call.attemptAtMs +
+					call.timeoutMs -
+					this.#core.commandTimeMs(input.programId),
+			),
+			timeoutReason: timeoutReasonOf(call, program),
 			maxTokens: Math.max(1, call.reservedTokens - promptTokens),
 			promptTokens,
 			cachedTokens: Math.min(promptTokens, program.cachedTokens),
