Measure what real daemons cost by role

Cause: the capacity page needs slopes of processor time, memory and traffic per daemon and per call. Ruled out: counters inside the daemon, because they leave out the runtime.

--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -7,6 +7,7 @@
 import {formatMarkdown, formatTable} from './print-table.ts';
 import {averageRows, type Row} from './row.ts';
 import {runLive} from './run-live.ts';
+import {CONTROL_COLUMNS, runControl} from './run-control.ts';
 import {runFailures} from './run-failures.ts';
 import {runScenario} from './run-scenario.ts';
 import {runTarget, TARGET_COLUMNS} from './run-target.ts';
@@ -39,7 +40,13 @@
 	'recoveryMs',
 ];
 
-const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
+const SCENARIOS = [
+	'baramyeon',
+	'piatothiki',
+	'failures',
+	'target',
+	'control',
+] as const;
 
 const LEAST_CACHE_TOKENS = 300_000;
 
@@ -151,15 +158,21 @@
 		case 'target': {
 			return runTarget(options.seed);
 		}
+
+		case 'control': {
+			return runControl(options.seed);
+		}
 	}
 };
 
+const SPECIAL_COLUMNS: Partial<Record<ScenarioName, string[]>> = {
+	target: TARGET_COLUMNS,
+	failures: FAILURE_COLUMNS,
+	control: CONTROL_COLUMNS,
+};
+
 const readColumns = (name: ScenarioName): string[] =>
-	name === 'target'
-		? TARGET_COLUMNS
-		: name === 'failures'
-			? FAILURE_COLUMNS
-			: COLUMNS;
+	SPECIAL_COLUMNS[name] ?? COLUMNS;
 
 const writePlots = (folder: string, name: ScenarioName, rows: Row[]): void => {
 	mkdirSync(folder, {recursive: true});
