--- a/packages/membership/src/step-members.ts
+++ b/packages/membership/src/step-members.ts
@@ -7,8 +7,8 @@
 	type MembershipState,
 } from './state.ts';
 
-/** Earlier incarnations kept per daemon. */
-const KEPT_INCARNATIONS = 8;
+/** Earlier incarnations kept per daemon; a heartbeat that is later than this many restarts is not seen. */
+const KEPT_INCARNATIONS = 64;
 
 type Heartbeat = Extract<MembershipEvent, {type: 'heartbeat'}>;
 
--- a/packages/programs/src/accept-call.ts
+++ b/packages/programs/src/accept-call.ts
@@ -12,7 +12,7 @@
 	MAX_ENTRIES,
 } from './request-records.ts';
 import type {ProgramRefusalReason, ProgramResult} from './results.ts';
-import type {Program} from './state.ts';
+import {type Program, shareIntent} from './state.ts';
 import {renewHold} from './renew-hold.ts';
 import {
 	appendHistory,
@@ -217,7 +217,7 @@
 		reservedTokens: command.reservedTokens,
 		timeoutMs: Math.min(command.timeoutMs, program.deadlineMs - context.nowMs),
 		attemptAtMs: context.nowMs,
-		intent: {...command.intent},
+		intent: shareIntent(command.intent),
 		entriesBefore,
 	};
 	program.call = call;
--- a/packages/programs/src/encode-programs.ts
+++ b/packages/programs/src/encode-programs.ts
@@ -1,5 +1,6 @@
 import type {ProgramId} from '@marjoramcove/types';
 import {ValidationError} from '@marjoramcove/errors';
+import {shareText} from './share-text.ts';
 import type {Program, ProgramsState} from './state.ts';
 
 const FORMAT = 1;
@@ -51,7 +52,7 @@
 		return Buffer.from(value as string, 'base64').toString('latin1');
 	}
 
-	return value ?? undefined;
+	return typeof value === 'string' ? shareText(value) : (value ?? undefined);
 };
 
 /**
--- a/packages/programs/src/open-program.ts
+++ b/packages/programs/src/open-program.ts
@@ -3,6 +3,7 @@
 import {hashText32, hashText64} from './hash.ts';
 import {programOfShard} from './program-id.ts';
 import type {ProgramResult} from './results.ts';
+import {shareText} from './share-text.ts';
 import {type Program, readBudget} from './state.ts';
 import {type CommandOf, refuse, type StepContext} from './step-context.ts';
 
@@ -43,8 +44,8 @@
 	nowMs: number,
 ): Program => ({
 	id: command.programId,
-	callerId: command.callerId,
-	labels: encodeLabels(command.labels),
+	callerId: shareText(command.callerId),
+	labels: shareText(encodeLabels(command.labels)),
 	parentId: command.parentId,
 	openHash: hashOpenCommand(command),
 	operationKey: operationKeyOf(command),
--- a/packages/programs/src/renew-hold.ts
+++ b/packages/programs/src/renew-hold.ts
@@ -17,6 +17,7 @@
 	if (hold) {
 		hold.turn = turn;
 	} else {
-		program.holds.push({upstreamId, turn});
+		// A pushed array would reserve room for 17 items.
+		program.holds = [...program.holds, {upstreamId, turn}];
 	}
 };
--- a/packages/programs/src/request-records.ts
+++ b/packages/programs/src/request-records.ts
@@ -24,6 +24,11 @@
 
 const ROW_BYTES = 19;
 const NO_ENTRY = 0xff_ff;
+const FLAGS_AT = 15;
+const ANSWERED = 4;
+const TOOL = 8;
+const IDEMPOTENT = 16;
+const REFUSED = 32;
 const VERDICTS: readonly Verdict[] = ['not-run', 'may-have-run', 'ran'];
 
 /** Largest number of history entries, so that an index fits into a row. */
@@ -44,11 +49,11 @@
 	row.writeUInt8(record.attempt, 14);
 	row.writeUInt8(
 		VERDICTS.indexOf(record.verdict) +
-			(record.answered ? 4 : 0) +
-			(record.kind === 'tool' ? 8 : 0) +
-			(record.idempotent ? 16 : 0) +
-			(record.refused ? 32 : 0),
-		15,
+			(record.answered ? ANSWERED : 0) +
+			(record.kind === 'tool' ? TOOL : 0) +
+			(record.idempotent ? IDEMPOTENT : 0) +
+			(record.refused ? REFUSED : 0),
+		FLAGS_AT,
 	);
 	row.writeUInt8(record.textIndex, 16);
 	row.writeUInt16LE(record.entryIndex ?? NO_ENTRY, 17);
@@ -61,7 +66,7 @@
 /** Reads one record from packed rows. */
 export const readRecord = (rows: string, index: number): StoredRecord => {
 	const row = readRow(rows, ROW_BYTES, index);
-	const flags = row.readUInt8(15);
+	const flags = row.readUInt8(FLAGS_AT);
 	const entryIndex = row.readUInt16LE(17);
 	return {
 		idHash: row.readBigUInt64LE(0),
@@ -69,21 +74,15 @@
 		turn: row.readUInt16LE(12),
 		attempt: row.readUInt8(14),
 		verdict: VERDICTS[flags % 4]!,
-		answered: hasFlag(flags, 4),
-		kind: hasFlag(flags, 8) ? 'tool' : 'model',
-		idempotent: hasFlag(flags, 16),
-		refused: hasFlag(flags, 32),
+		answered: hasFlag(flags, ANSWERED),
+		kind: hasFlag(flags, TOOL) ? 'tool' : 'model',
+		idempotent: hasFlag(flags, IDEMPOTENT),
+		refused: hasFlag(flags, REFUSED),
 		textIndex: row.readUInt8(16),
 		...(entryIndex !== NO_ENTRY && {entryIndex}),
 	};
 };
 
-/** All records, the oldest first. */
-export const listRecords = (rows: string): StoredRecord[] =>
-	Array.from({length: countRows(rows, ROW_BYTES)}, (_, index) =>
-		readRecord(rows, index),
-	);
-
 /** Finds the record of a request id. */
 export const findRecord = (
 	rows: string,
@@ -101,10 +100,6 @@
 	return undefined;
 };
 
-/** Whether a record must stay as long as its program: a lost one could let the call run again. */
-const isPermanent = (record: StoredRecord): boolean =>
-	!record.idempotent && !record.refused;
-
 /** Packed records of a program, and the hashes of the request ids whose records were dropped. */
 export type RecordLog = {records: string; forgotten: string};
 
@@ -131,23 +126,39 @@
 	return false;
 };
 
+/** Flags of a record, without decoding the rest of its row. */
+const flagsAt = (rows: string, index: number): number =>
+	rows.codePointAt(index * ROW_BYTES + FLAGS_AT)!;
+
 /** Drops all but the newest `keep` records of each droppable kind and keeps their hashes. */
 export const dropOldRecords = (log: RecordLog, keep: number): void => {
-	const records = listRecords(log.records);
-	let refusals = records.filter((record) => record.refused).length;
-	let calls = records.length - refusals;
-	const dropped: Buffer[] = [];
-	log.records = filterRows(log.records, ROW_BYTES, (index) => {
-		const record = records[index]!;
-		const remaining = record.refused ? refusals-- : calls--;
-		const isKept = isPermanent(record) || remaining <= keep;
+	const {records} = log;
+	const count = countRows(records, ROW_BYTES);
+	let refusals = 0;
+	for (let index = 0; index < count; index++) {
+		refusals += hasFlag(flagsAt(records, index), REFUSED) ? 1 : 0;
+	}
+
+	let calls = count - refusals;
+	let dropped = '';
+	log.records = filterRows(records, ROW_BYTES, (index) => {
+		const flags = flagsAt(records, index);
+		const isRefused = hasFlag(flags, REFUSED);
+		const remaining = isRefused ? refusals-- : calls--;
+		// A lost record of a non-idempotent call could let the call run again.
+		const isPermanent = !isRefused && !hasFlag(flags, IDEMPOTENT);
+		const isKept = isPermanent || remaining <= keep;
 		if (!isKept) {
-			dropped.push(forgottenKey(record.idHash));
+			// A row begins with the hash of the request id, the lowest byte first.
+			const start = index * ROW_BYTES;
+			dropped += records.slice(start, start + FORGOTTEN_BYTES);
 		}
 
 		return isKept;
 	});
-	log.forgotten = appendRows(log.forgotten, Buffer.concat(dropped));
+	if (dropped !== '') {
+		log.forgotten = appendRows(log.forgotten, Buffer.from(dropped, 'latin1'));
+	}
 };
 
 /**
--- a/packages/programs/src/retry-call.ts
+++ b/packages/programs/src/retry-call.ts
@@ -2,7 +2,7 @@
 import {describeCall} from './describe-call.ts';
 import {renewHold} from './renew-hold.ts';
 import type {ProgramResult} from './results.ts';
-import type {OpenCall, Program} from './state.ts';
+import {type OpenCall, type Program, shareIntent} from './state.ts';
 import {type CommandOf, refuse, type StepContext} from './step-context.ts';
 
 const findRefusal = (
@@ -82,7 +82,7 @@
 
 	program.spentTokens += call.reservedTokens;
 	call.reservedTokens = command.reservedTokens;
-	call.intent = {...command.intent};
+	call.intent = shareIntent(command.intent);
 	call.attemptAtMs = context.nowMs;
 	call.timeoutMs = Math.min(call.timeoutMs, program.deadlineMs - context.nowMs);
 	renewHold(program, call);
--- a/packages/programs/src/state.ts
+++ b/packages/programs/src/state.ts
@@ -5,6 +5,7 @@
 	UpstreamId,
 } from '@marjoramcove/types';
 import type {CallKind, Intent, ProgramBudget} from './commands.ts';
+import {shareText} from './share-text.ts';
 import {createTextTable, type TextTable} from './text-table.ts';
 
 /** Limits of the machine; the same on all replicas of a shard. */
@@ -142,3 +143,11 @@
 	turns: program.turnLimit,
 	wallTimeMs: Math.max(0, program.deadlineMs - nowMs),
 });
+
+/** Copy of an intent whose texts are shared with other programs. */
+export const shareIntent = (intent: Intent): Intent => ({
+	attempt: intent.attempt,
+	upstreamId: shareText(intent.upstreamId),
+	dispatcherId: shareText(intent.dispatcherId),
+	dispatcherIncarnation: shareText(intent.dispatcherIncarnation),
+});
