--- /dev/null
+++ b/packages/daemon/src/dispatcher/call-run.test.ts
@@ -0,0 +1,76 @@
+import {describe, expect, it} from 'vitest';
+import type {DispatchEvent, Grant} from '../call-contracts.ts';
+import {CallRun} from './call-run.ts';
+
+const grant = Object.assign(Object.create(null), {timeoutMs: 1000}) as Grant;
+
+const createRun = (prefix = '') =>
+	new CallRun({
+		grant,
+		payload: {messages: [], parameters: {}, prefix},
+	});
+
+const end: DispatchEvent = {type: 'lost', reason: 'test'};
+
+const readAll = async (run: CallRun, fromOffset = 0) => {
+	const events: DispatchEvent[] = [];
+	for await (const event of run.read(
+		fromOffset,
+		new AbortController().signal,
+	)) {
+		events.push(event);
+	}
+
+	return events;
+};
+
+describe('CallRun', () => {
+	describe('read', () => {
+		it('gives each reader all text from its offset, then the end', async () => {
+			// Guards against a reader that attaches late and misses text.
+			const run = createRun();
+			const early = readAll(run);
+			run.append('abc');
+			await Promise.resolve();
+			run.append('def');
+			run.finish('lost', end);
+			const late = await readAll(run, 4);
+			expect(late).toEqual([{type: 'chunk', offset: 4, text: 'ef'}, end]);
+			const events = await early;
+			const text = events
+				.map((event) => (event.type === 'chunk' ? event.text : ''))
+				.join('');
+			expect(text).toBe('abcdef');
+		});
+
+		it('begins with the prefix of an earlier attempt', async () => {
+			// Guards against delivered bytes that are not a prefix of the answer.
+			const run = createRun('abc');
+			run.append('d');
+			run.finish('lost', end);
+			expect(await readAll(run)).toEqual([
+				{type: 'chunk', offset: 0, text: 'abcd'},
+				end,
+			]);
+		});
+
+		it('ends when its reader has gone', async () => {
+			const controller = new AbortController();
+			const reading = createRun().read(0, controller.signal).next();
+			controller.abort();
+			expect(await reading).toMatchObject({done: true});
+		});
+	});
+
+	describe('finish', () => {
+		it('keeps the first end and ignores later text', async () => {
+			// Guards against an answer that changes after it was settled.
+			const run = createRun();
+			run.finish('lost', end);
+			run.append('late');
+			run.finish('settled', {type: 'lost', reason: 'second'});
+			expect(await readAll(run)).toEqual([end]);
+			expect(run.status).toBe('lost');
+		});
+	});
+});
