Keep verdicts honest over several attempts at a leader

A refusal after an attempt with an unknown outcome was passed on as not-run, although the earlier attempt could still arrive at the leader. It is now may-have-run unless the programs machine recorded the refusal. A call that no leader takes is refused after requestTimeoutMs instead of the whole time of the call.

--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -161,4 +161,6 @@
 		result.reason,
 		result.message,
 		hints[result.reason] ?? 'Correct the request.',
+		// The machine refuses a late copy of the command too.
+		{isRecorded: true},
 	);
--- a/packages/daemon/src/services/group-client-service.ts
+++ b/packages/daemon/src/services/group-client-service.ts
@@ -23,6 +23,7 @@
 	'peer-unknown',
 	'group-unknown',
 	'procedure-unknown',
+	'configuration-lease-expired',
 ]);
 
 /** Reasons with an unknown outcome; the called procedures are idempotent by their ids. */
@@ -32,6 +33,22 @@
 	'commit-unknown',
 ]);
 
+/**
+ * A refusal says that this attempt did not run. An earlier attempt with an unknown outcome may still
+ * arrive, unless the refusal is recorded.
+ */
+const withUnknownAttempt = (error: unknown): unknown =>
+	error instanceof MarjoramcoveError &&
+	error.verdict === 'not-run' &&
+	error.data?.isRecorded !== true
+		? new MarjoramcoveError(error.message, {
+				reason: error.reason,
+				verdict: 'may-have-run',
+				hint: 'Look up the outcome by the id of the request.',
+				data: error.data,
+			})
+		: error;
+
 /** Calls the leader of a replicated group, wherever it is. */
 export class GroupClientService extends Service {
 	readonly #context: DaemonContext;
@@ -78,8 +95,10 @@
 		input: unknown,
 		{timeoutMs, attemptTimeoutMs = timeoutMs, channel}: LeaderCallOptions,
 	): Promise<Output> {
+		const {timing} = this.#context.settings;
 		const deadlineMs = performance.now() + timeoutMs;
 		let unknown: Error | undefined;
+		let refusedSinceMs: number | undefined;
 		for (let attempt = 0; ; attempt++) {
 			const daemonId = this.#leaders.get(groupId) ?? this.#nextReplica();
 			const leftMs = Math.max(1, deadlineMs - performance.now());
@@ -93,13 +112,18 @@
 			} catch (error) {
 				const reason = reasonOf(error);
 				if (!movableReasons.has(reason) && !unknownReasons.has(reason)) {
-					throw error;
+					throw unknown ? withUnknownAttempt(error) : error;
 				}
 
 				unknown = unknownReasons.has(reason) ? (error as Error) : unknown;
 				this.#moveOn(groupId, error);
 				const delayMs = backoffDelay(attempt, backoff, Math.random());
-				if (performance.now() + delayMs >= deadlineMs) {
+				const nowMs = performance.now();
+				refusedSinceMs ??= nowMs;
+				// Without a leader nothing runs, so the caller gets its refusal early and can go elsewhere.
+				const isHopeless =
+					!unknown && nowMs - refusedSinceMs > timing.requestTimeoutMs;
+				if (isHopeless || nowMs + delayMs >= deadlineMs) {
 					throw unknown ?? this.#noLeader(groupId, error);
 				}
 
