Observe the speed of engines in the process's own calls

Cause: relativeSpeed came from the engine's report in the experiments, but the load report of the engine protocol does not carry a speed, and the daemon passes 1. recordSpeed and readRelativeSpeed derive it from the durations of finished calls relative to their estimates; speeds above 0.6 of the fleet count as normal, since durations vary with the batch.

--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -1,10 +1,9 @@
 #!/usr/bin/env node
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
-import yargs from 'yargs';
-import {hideBin} from 'yargs/helpers';
 import {plotLatency} from './plot-latency.ts';
 import {formatMarkdown, formatTable} from './print-table.ts';
+import {readArguments, type ScenarioName} from './read-arguments.ts';
 import {averageRows, type Row} from './row.ts';
 import {runLive} from './run-live.ts';
 import {runFailures} from './run-failures.ts';
@@ -39,74 +38,6 @@
 	'recoveryMs',
 ];
 
-const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
-
-const LEAST_CACHE_TOKENS = 300_000;
-
-type ScenarioName = (typeof SCENARIOS)[number];
-
-const readArguments = () =>
-	yargs(hideBin(process.argv))
-		.scriptName('measure')
-		.command('$0 <scenario>', 'Runs the experiments of a scenario', (command) =>
-			command.positional('scenario', {choices: SCENARIOS, demandOption: true}),
-		)
-		.option('seed', {type: 'number', default: 1, describe: 'First seed'})
-		.option('seeds', {type: 'number', default: 1, describe: 'Number of seeds'})
-		.option('policies', {
-			type: 'string',
-			describe: 'Comma-separated names of the policies to run',
-		})
-		.option('cache-tokens', {
-			type: 'number',
-			describe: 'Cache of an engine, to see how much depends on it',
-		})
-		.option('loads', {
-			type: 'string',
-			describe: 'Comma-separated loads to run; all of the scenario when absent',
-		})
-		.option('live', {
-			type: 'boolean',
-			default: false,
-			describe: 'Drive real daemons at a smaller size, in real time',
-		})
-		.option('out', {type: 'string', describe: 'File for the rows as JSON'})
-		.option('plots', {type: 'string', describe: 'Folder for SVG plots'})
-		.option('markdown', {
-			type: 'boolean',
-			default: false,
-			describe: 'Print Markdown tables',
-		})
-		.check(({seed, seeds, loads, cacheTokens, live, scenario}) => {
-			if (
-				!Number.isSafeInteger(seed) ||
-				!Number.isSafeInteger(seeds) ||
-				seeds < 1
-			) {
-				throw new Error(
-					'--seed and --seeds must be integers, --seeds at least 1.',
-				);
-			}
-
-			if (live && scenario !== 'baramyeon' && scenario !== 'piatothiki') {
-				throw new Error('--live needs the scenario baramyeon or piatothiki.');
-			}
-
-			if (loads?.split(',').some((load) => !(Number(load) > 0))) {
-				throw new Error('--loads must be positive numbers, such as 0.9,1.1.');
-			}
-
-			if (!(Number(cacheTokens ?? LEAST_CACHE_TOKENS) >= LEAST_CACHE_TOKENS)) {
-				throw new Error(
-					`--cache-tokens must be at least ${LEAST_CACHE_TOKENS}, so that any program fits.`,
-				);
-			}
-
-			return true;
-		})
-		.strict()
-		.parseSync();
-
 type SeedOptions = {
 	live: boolean;
 	seed: number;
--- a/packages/measure/src/engine-stand-in.ts
+++ b/packages/measure/src/engine-stand-in.ts
@@ -47,10 +47,6 @@
 		);
 	}
 
-	get speed(): number {
-		return this.#speed;
-	}
-
 	setSpeed(speed: number): void {
 		this.#advance();
 		this.#speed = speed;
--- a/packages/measure/src/faults.ts
+++ b/packages/measure/src/faults.ts
@@ -92,49 +92,48 @@
 	};
 };
 
-/** Loses one of as many dispatchers as there are routers; without dispatchers, a router. */
+/** Loses one of as many dispatchers as there are routers, with the calls of its engines. */
 const loseDispatcher = (fleet: Fleet, clock: VirtualClock) => {
-	const {routers, policy} = fleet.options;
-	const ownsQueues = policy.queueing === 'dispatcher';
-	const isOwned = (engine: number) => ownsQueues && engine % routers === 0;
-	const isLost = (call: SimCall) =>
-		isOwned(call.engine) || (!ownsQueues && call.router === 0);
+	const owned = [...fleet.engines.keys()].filter(
+		(engine) => engine % fleet.options.routers === 0,
+	);
 	const lost = new Set<SimCall>();
-	for (const [engine, standIn] of fleet.engines.entries()) {
-		const queues = fleet.queuesOf(engine);
-		const lostQueues = ownsQueues
-			? isOwned(engine)
-				? queues
-				: []
-			: queues.slice(0, 1);
-		const calls = [
-			...lostQueues.flatMap((queue) => queue.clear()),
-			...standIn.cancel((call) => isLost(call)),
-		];
-		for (const call of calls) {
+	for (const engine of owned) {
+		const cancelled = fleet.engines[engine]!.cancel(() => true);
+		for (const call of [...clearQueues(fleet, engine), ...cancelled]) {
 			lost.add(call);
 		}
 
-		if (isOwned(engine)) {
-			setPaused(fleet, engine, true);
-		}
+		setPaused(fleet, engine, true);
 	}
 
 	fleet.resendLost(lost, TAKEOVER_MS);
-	if (!ownsQueues) {
-		fleet.lostRouters.add(0);
-	}
-
 	clock.after(TAKEOVER_MS, () => {
-		for (const engine of fleet.engines.keys()) {
-			if (isOwned(engine)) {
-				setPaused(fleet, engine, false);
-				for (const queue of fleet.queuesOf(engine)) {
-					queue.pump(clock.nowMs);
-				}
+		for (const engine of owned) {
+			setPaused(fleet, engine, false);
+			for (const queue of fleet.queuesOf(engine)) {
+				queue.pump(clock.nowMs);
 			}
 		}
 	});
+	return () => {
+		// Another dispatcher has taken over; nothing is left to repair.
+	};
+};
+
+/** Loses a router that sends to the engines itself, with all of its calls. */
+const loseRouter = (fleet: Fleet) => {
+	const lost = new Set<SimCall>();
+	for (const [engine, standIn] of fleet.engines.entries()) {
+		const [ownQueue] = fleet.queuesOf(engine);
+		const cancelled = standIn.cancel((call) => call.router === 0);
+		for (const call of [...(ownQueue?.clear() ?? []), ...cancelled]) {
+			lost.add(call);
+		}
+	}
+
+	fleet.resendLost(lost, TAKEOVER_MS);
+	fleet.lostRouters.add(0);
 	return () => {
 		fleet.lostRouters.clear();
 	};
@@ -151,7 +150,10 @@
 		'engine-leaving': () => removeEngine(fleet, clock, 2),
 		'engine-slowed': () => slowEngine(fleet, clock, 3),
 		'stale-reports': () => makeReportsStale(fleet),
-		'dispatcher-lost': () => loseDispatcher(fleet, clock),
+		'dispatcher-lost': () =>
+			fleet.options.policy.queueing === 'dispatcher'
+				? loseDispatcher(fleet, clock)
+				: loseRouter(fleet),
 	};
 	const chosen =
 		fault === 'all-at-once' ? Object.values(starts) : [starts[fault]];
--- a/packages/measure/src/figures.ts
+++ b/packages/measure/src/figures.ts
@@ -70,10 +70,10 @@
 /** Shares of the programs of each caller that finished in time; refused programs count as late. */
 const readInTimeShares = (records: ProgramRecord[]): number[] => {
 	const outcomes = new Map<number, number[]>();
-	for (const {plan, finishedAtMs} of records) {
-		const inTime =
-			finishedAtMs !== undefined && finishedAtMs <= plan.deadlineMs ? 1 : 0;
-		outcomes.set(plan.caller, [...(outcomes.get(plan.caller) ?? []), inTime]);
+	for (const record of records) {
+		const {caller} = record.plan;
+		const outcome = isInTime(record) ? 1 : 0;
+		outcomes.set(caller, [...(outcomes.get(caller) ?? []), outcome]);
 	}
 
 	return [...outcomes.values()]
@@ -93,16 +93,19 @@
 	return counts;
 };
 
+const isFinished = ({finishedAtMs}: ProgramRecord): boolean =>
+	finishedAtMs !== undefined;
+
+const isInTime = (record: ProgramRecord): boolean =>
+	isFinished(record) && record.finishedAtMs! <= record.plan.deadlineMs;
+
+const byValue = (left: number, right: number) => left - right;
+
 /** Computes the figures over the measured programs of a run. */
 export const computeFigures = (run: RunRecord, measuredMs: number): Figures => {
 	const records = run.programs.filter(({plan}) => plan.measured);
-	const finished = records.filter(
-		(record) => record.finishedAtMs !== undefined,
-	);
-	const inTime = finished.filter(
-		({plan, finishedAtMs}) => finishedAtMs! <= plan.deadlineMs,
-	);
-	const byValue = (left: number, right: number) => left - right;
+	const finished = records.filter((record) => isFinished(record));
+	const inTime = finished.filter((record) => isInTime(record));
 	const latencies = finished
 		.map((record) => readLatencyMs(record))
 		.sort(byValue);
@@ -119,8 +122,9 @@
 		programLatencyP50Ms: readQuantile(latencies, 0.5),
 		programLatencyP95Ms: readQuantile(latencies, 0.95),
 		programLatencyP99Ms: readQuantile(latencies, 0.99),
-		programLatencyP95WithRefusedMs:
-			p95WithRefusedMs === Number.POSITIVE_INFINITY ? null : p95WithRefusedMs,
+		programLatencyP95WithRefusedMs: Number.isFinite(p95WithRefusedMs)
+			? p95WithRefusedMs
+			: null,
 		lowerBoundP95Ms: readQuantile(lowerBounds, 0.95),
 		ratioToLowerBoundMean: readMean(
 			finished.map(
--- a/packages/measure/src/fleet-view.ts
+++ b/packages/measure/src/fleet-view.ts
@@ -1,8 +1,11 @@
 import {
+	createEngineSpeeds,
 	type EngineView,
 	estimateOpenWork,
 	type OpenWork,
 	type PolicySettings,
+	readRelativeSpeed,
+	recordSpeed,
 } from '@marjoramcove/scheduler';
 import {asId, type UpstreamId, type ZoneName} from '@marjoramcove/types';
 import type {EngineModel} from './engine-model.ts';
@@ -10,7 +13,6 @@
 /** What an engine's report says. */
 export type LoadReport = OpenWork & {
 	cacheUsedTokens: number;
-	relativeSpeed: number;
 };
 
 export type ViewOptions = {
@@ -45,6 +47,7 @@
 	readonly leaving: boolean[];
 	/** Current time, for the age of reports. */
 	nowMs = 0;
+	#speeds = createEngineSpeeds();
 	readonly #routers: number;
 	readonly #settings: PolicySettings;
 	readonly #model: EngineModel;
@@ -64,7 +67,7 @@
 		this.healthy = positions.map(() => true);
 		this.leaving = positions.map(() => false);
 		this.#known = positions.map(() => ({
-			report: {...createWork(), cacheUsedTokens: 0, relativeSpeed: 1},
+			report: {...createWork(), cacheUsedTokens: 0},
 			ownAtReport: createWork(),
 			own: createWork(),
 			reportedAtMs: 0,
@@ -83,6 +86,11 @@
 		return this.#ids.indexOf(id);
 	}
 
+	/** Records how long a call took relative to the estimate for an engine of normal speed. */
+	recordDuration(engine: number, ratio: number): void {
+		this.#speeds = recordSpeed(this.#speeds, this.#ids[engine]!, ratio);
+	}
+
 	/** Records a sent call (`sign` 1) or a finished one (-1). */
 	record(engine: number, work: OpenWork, sign: 1 | -1): void {
 		const {own} = this.#known[engine]!;
@@ -103,6 +111,11 @@
 		};
 	}
 
+	/** Speed of an engine as the router's own calls show it; reports do not say. */
+	relativeSpeed(engine: number): number {
+		return readRelativeSpeed(this.#speeds, this.#ids[engine]!);
+	}
+
 	/** What the router expects of an engine now. */
 	estimate(engine: number): OpenWork & LoadReport {
 		const known = this.#known[engine]!;
@@ -133,7 +146,7 @@
 			cachedTokens,
 			cacheCapacityTokens,
 			cacheUsedTokens: known.cacheUsedTokens,
-			relativeSpeed: known.relativeSpeed,
+			relativeSpeed: this.relativeSpeed(engine),
 			leaving: this.leaving[engine]!,
 			healthy: this.healthy[engine]!,
 		};
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -4,7 +4,7 @@
 	RandomSource,
 } from '@marjoramcove/scheduler';
 import {DispatchQueue} from './dispatch-queue.ts';
-import type {EngineModel} from './engine-model.ts';
+import {type EngineModel, readStepMs} from './engine-model.ts';
 import {EngineStandIn} from './engine-stand-in.ts';
 import {FleetView} from './fleet-view.ts';
 import type {Policy} from './policy.ts';
@@ -43,7 +43,6 @@
 	readonly options: FleetOptions;
 	readonly #clock: VirtualClock;
 	readonly #open: OpenWork[];
-	readonly #relativeSpeed: number[];
 	/** Queues by engine, or by engine and router. */
 	readonly #queues: DispatchQueue[][];
 	/** Cache that the routers expect for a chain. */
@@ -60,7 +59,6 @@
 			prefillTokens: 0,
 			completionTokens: 0,
 		}));
-		this.#relativeSpeed = positions.map(() => 1);
 		this.views = Array.from({length: routers}, () => new FleetView(options));
 		this.engines = positions.map(
 			(engine) =>
@@ -130,15 +128,8 @@
 	/** Sends the load reports of all engines. */
 	report(): void {
 		for (const [engine, open] of this.#open.entries()) {
-			const {cache, speed} = this.engines[engine]!;
-			// An engine reports a running average of its speed.
-			const relativeSpeed = (this.#relativeSpeed[engine]! + speed) / 2;
-			this.#relativeSpeed[engine] = relativeSpeed;
-			const report = {
-				...open,
-				cacheUsedTokens: cache.usedTokens,
-				relativeSpeed,
-			};
+			const cacheUsedTokens = this.engines[engine]!.cache.usedTokens;
+			const report = {...open, cacheUsedTokens};
 			const deliveries = this.views.map((view) => {
 				view.nowMs = this.#clock.nowMs;
 				return view.receiveReport(engine, report);
@@ -218,6 +209,7 @@
 
 	#submit(call: SimCall): void {
 		const {attempt} = call;
+		call.submittedAtMs = this.#clock.nowMs;
 		this.#clock.after(ZONE_DELAY_MS, () => {
 			const engine = this.engines[call.engine]!;
 			if (call.attempt !== attempt) {
@@ -235,6 +227,7 @@
 	#finish(call: SimCall): void {
 		const tokens = call.promptTokens + call.completionTokens;
 		this.#account(call, -1);
+		this.#recordDuration(call);
 		this.#expected.set(call.chainKey, {engine: call.engine, tokens});
 		this.#expectedPauseMs.set(call.chainKey, call.expectedPauseMs);
 		this.#retain(call.engine, call.chainKey, {
@@ -246,6 +239,17 @@
 		call.finish();
 	}
 
+	#recordDuration(call: SimCall): void {
+		const {prefillMsPerToken, slots} = this.options.model;
+		const computed = call.promptTokens - call.hitTokens - call.importedTokens;
+		const expectedMs =
+			computed * prefillMsPerToken +
+			call.completionTokens * readStepMs(this.options.model, slots);
+		const actualMs = this.#clock.nowMs - call.submittedAtMs;
+		const view = this.views[call.router]!;
+		view.recordDuration(call.engine, actualMs / expectedMs);
+	}
+
 	#retain(
 		engine: number,
 		chainKey: string,
--- a/packages/measure/src/run-failures.ts
+++ b/packages/measure/src/run-failures.ts
@@ -63,16 +63,13 @@
 	base: Scenario,
 	{seed, policies, faults = FAULTS}: RunOptions & {faults?: readonly Fault[]},
 ): Row[] => {
-	const arrivals = {
-		...base.arrivals,
-		warmUpLoad: FAILURE_LOAD,
-		measuredMs: MEASURED_MS,
-		bellAfterMs: undefined,
-	};
+	const warmUpLoad = FAILURE_LOAD;
+	const {warmUpMs} = base.arrivals;
+	const arrivals = {warmUpMs, warmUpLoad, measuredMs: MEASURED_MS};
 	const scenario = {...base, arrivals};
-	const startMs = arrivals.warmUpMs + FAULT_AFTER_MS;
+	const startMs = warmUpMs + FAULT_AFTER_MS;
 	const endMs = startMs + FAULT_MS;
-	const untilMs = arrivals.warmUpMs + MEASURED_MS;
+	const period = {startMs, endMs, untilMs: warmUpMs + MEASURED_MS};
 	const programs = drawWorkload({...scenario, load: FAILURE_LOAD, seed});
 	return createPolicies(scenario)
 		.filter(({name}) => !policies || policies.includes(name))
@@ -84,14 +81,13 @@
 					programs,
 					{policy, seed},
 					({fleet}, clock) => {
-						planFault(fault, {fleet, clock}, {startMs, endMs});
+						planFault(fault, {fleet, clock}, period);
 					},
 				);
 				const row = toRow(
 					{scenario: 'failures', load: fault, policy: policy.name, seed},
 					computeFigures(run, MEASURED_MS),
 				);
-				const period = {startMs, endMs, untilMs};
 				return Object.assign(
 					row,
 					readRecovery(run.calls, steady.calls, period),
--- a/packages/measure/src/run-live.ts
+++ b/packages/measure/src/run-live.ts
@@ -1,5 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Answer, errorOf, TestBed} from '@marjoramcove/test-support';
+import {
+	type Answer,
+	type Caller,
+	errorOf,
+	TestBed,
+} from '@marjoramcove/test-support';
 import {computeFigures} from './figures.ts';
 import {scaleScenario} from './live-plan.ts';
 import {type Row, toRow} from './row.ts';
@@ -8,6 +13,7 @@
 import {drawWorkload, type ProgramPlan, type Turn} from './workload.ts';
 
 const DAEMONS = 5;
+const CALL_TIMEOUT_MS = 120_000;
 const ENTRY_DAEMONS = ['d4', 'd5'];
 /** Characters of one token of the stand-in engine. */
 const CHARACTERS_PER_TOKEN = 4;
@@ -31,6 +37,33 @@
 	return request.padStart(length, 'what is the rule for this kite ');
 };
 
+const readReason = (answer: Answer): string =>
+	errorOf(answer)?.reason ?? `status-${answer.status}`;
+
+/** Adds the tokens of a finished call to the figures; returns the new length of the history. */
+const recordUsage = (
+	run: RunRecord,
+	usage: Usage,
+	historyTokens: number,
+): number => {
+	const cachedTokens = usage.prompt_tokens_details?.cached_tokens ?? 0;
+	run.promptTokens += usage.prompt_tokens;
+	run.wastedTokens += Math.max(0, historyTokens - cachedTokens);
+	return usage.prompt_tokens + usage.completion_tokens;
+};
+
+const pause = async (
+	caller: Caller,
+	programId: string,
+	turn: Turn,
+): Promise<void> => {
+	if (turn.pauseMs > ANNOUNCED_PAUSE_MS) {
+		await caller.pauseProgram(programId, Math.round(turn.expectedPauseMs));
+	}
+
+	await sleep(turn.pauseMs);
+};
+
 /** Drives one program turn by turn; returns the reason when the daemon refuses. */
 const driveProgram = async (
 	bed: TestBed,
@@ -38,8 +71,6 @@
 	run: RunRecord,
 ): Promise<string | undefined> => {
 	const caller = bed.caller(ENTRY_DAEMONS[plan.index % ENTRY_DAEMONS.length]!);
-	const readReason = (answer: Answer) =>
-		errorOf(answer)?.reason ?? `status-${answer.status}`;
 	const opened = await caller.tryOpenProgram({
 		labels: {agent: plan.agent.name},
 		callerId: `caller-${plan.caller}`,
@@ -50,29 +81,21 @@
 	}
 
 	const programId = String(opened.body.programId);
+	const {turns} = plan.chain;
 	let historyTokens = 0;
-	for (const [index, turn] of plan.chain.turns.entries()) {
-		const answer = await caller.callModel(
-			programId,
-			composeMessage(turn, index),
-			{timeoutMs: 120_000},
-		);
+	for (const [index, turn] of turns.entries()) {
+		const message = composeMessage(turn, index);
+		const options = {timeoutMs: CALL_TIMEOUT_MS};
+		const answer = await caller.callModel(programId, message, options);
 		if (answer.status !== 200) {
 			await caller.endProgram(programId);
 			return readReason(answer);
 		}
 
 		const usage = answer.body.usage as Usage;
-		const cachedTokens = usage.prompt_tokens_details?.cached_tokens ?? 0;
-		run.promptTokens += usage.prompt_tokens;
-		run.wastedTokens += Math.max(0, historyTokens - cachedTokens);
-		historyTokens = usage.prompt_tokens + usage.completion_tokens;
-		if (index < plan.chain.turns.length - 1) {
-			if (turn.pauseMs > ANNOUNCED_PAUSE_MS) {
-				await caller.pauseProgram(programId, Math.round(turn.expectedPauseMs));
-			}
-
-			await sleep(turn.pauseMs);
+		historyTokens = recordUsage(run, usage, historyTokens);
+		if (index < turns.length - 1) {
+			await pause(caller, programId, turn);
 		}
 	}
 
--- a/packages/measure/src/run-target.ts
+++ b/packages/measure/src/run-target.ts
@@ -11,6 +11,7 @@
 } from '@marjoramcove/types';
 import {
 	admitCall,
+	type CallerService,
 	chooseEngine,
 	createCallerService,
 	decideRetention,
@@ -143,102 +144,75 @@
 	priority: 0,
 });
 
-/** One whole decision: admission, routing, order, room, fairness and retention of a call. */
-const decide = (
-	state: State,
+type Context = {
+	queue: QueuedCall[];
+	ledger: CallerService;
+	draws: RandomDraws;
+};
+
+const NOW_MS = 1000;
+const RETENTION = {
+	expectedPauseMs: 500,
+	programEnded: false,
+	cacheUsedTokens: 500_000,
+	cacheCapacityTokens: 600_000,
+	exportFreeTokens: 100_000,
+};
+const IN_FLIGHT = {
+	slots: 32,
+	inFlight: 10,
+	inFlightTokens: 100_000,
+	cacheCapacityTokens: 600_000,
+};
+
+/** Admission and routing, as the shard owner decides. */
+const route = (
+	{fleets, programs}: State,
 	index: number,
-	{
-		queue,
-		ledger,
-		draws,
-	}: {
-		queue: QueuedCall[];
-		ledger: ReturnType<typeof createCallerService>;
-		draws: RandomDraws;
-	},
+	draws: RandomDraws,
 ): void => {
-	const program = state.programs[index]!;
-	const fleet = state.fleets[index % state.fleets.length]!;
-	const view = fleet.views[0]!;
-	const nowMs = 1000;
-	admitCall(
-		{
-			engines: fleet.views.length,
-			slots: 32 * fleet.views.length,
-			inFlight: 100,
-			queued: 0,
-			outstandingWorkMs: 1000,
-			cacheUsedTokens: 0,
-			cacheCapacityTokens: 1,
-			callerPrograms: 1,
-			programs: state.programs.length,
-			activeCallers: 100,
-		},
-		{
-			programId: program.programId,
-			callerId: program.callerId,
-			isNewProgram: false,
-		},
-		nowMs,
-		SETTINGS,
-	);
+	const program = programs[index]!;
+	const {views, byId} = fleets[index % fleets.length]!;
+	const load = {
+		engines: views.length,
+		slots: 32 * views.length,
+		inFlight: 100,
+		queued: 10,
+		outstandingWorkMs: 1000,
+		cacheUsedTokens: 100_000 * views.length,
+		cacheCapacityTokens: 600_000 * views.length,
+		callerPrograms: 1,
+		programs: programs.length,
+		activeCallers: 100,
+	};
+	const {zone} = views[0]!;
+	admitCall(load, {...program, isNewProgram: true}, NOW_MS, SETTINGS);
 	const directory = {
-		count: fleet.views.length,
-		viewAt: (position: number) => fleet.views[position]!,
-		viewOf: (id: UpstreamId) => fleet.byId.get(id),
+		count: views.length,
+		viewAt: (position: number) => views[position]!,
+		viewOf: (id: UpstreamId) => byId.get(id),
 	};
-	const views = sampleViews(
-		directory,
-		[program.previous.upstreamId],
-		SETTINGS,
-		draws.next,
-	);
-	const queued = toQueued(program, nowMs);
-	chooseEngine(
-		{...queued, zone: view.zone},
-		views,
-		nowMs,
-		SETTINGS,
-		draws.next,
-	);
-	queue[index % queue.length] = queued;
+	const cachedOn = [program.previous.upstreamId];
+	const shortList = sampleViews(directory, cachedOn, SETTINGS, draws.next);
+	const request = {...toQueued(program, NOW_MS), zone};
+	chooseEngine(request, shortList, NOW_MS, SETTINGS, draws.next);
+};
+
+/** Order, room, fairness and retention, as the dispatcher of an engine decides. */
+const dispatch = (program: ProgramState, {queue, ledger}: Context): void => {
+	queue[program.tokens % queue.length] = toQueued(program, NOW_MS);
 	let floorMs = Number.POSITIVE_INFINITY;
 	for (const call of queue) {
 		call.callerServiceMs = readService(ledger, call.callerId);
 		floorMs = Math.min(floorMs, call.callerServiceMs);
 	}
 
-	const picked = pickNext(queue, nowMs, SETTINGS)!;
-	hasRoom(
-		{
-			slots: 32,
-			inFlight: 10,
-			inFlightTokens: 100_000,
-			cacheCapacityTokens: 600_000,
-		},
-		picked,
-		SETTINGS,
-	);
-	recordService(
-		ledger,
-		picked.callerId,
-		estimateWorkMs(
-			{prefillTokens: 500, completionTokens: 150},
-			readTuning(SETTINGS),
-		),
-		floorMs,
-	);
-	decideRetention(
-		{
-			cachedTokens: program.tokens,
-			expectedPauseMs: 500,
-			programEnded: false,
-			cacheUsedTokens: 500_000,
-			cacheCapacityTokens: 600_000,
-			exportFreeTokens: 100_000,
-		},
-		SETTINGS,
-	);
+	const picked = pickNext(queue, NOW_MS, SETTINGS)!;
+	hasRoom(IN_FLIGHT, picked, SETTINGS);
+	const tokens = {prefillTokens: 500, completionTokens: 150};
+	const workMs = estimateWorkMs(tokens, readTuning(SETTINGS));
+	recordService(ledger, picked.callerId, workMs, floorMs);
+	decideRetention({...RETENTION, cachedTokens: program.tokens}, SETTINGS);
 };
 
 const measureSize = (size: Size, seed: number): Row => {
@@ -257,7 +231,8 @@
 	for (let run = 0; run < WARM_UP_DECISIONS + DECISIONS; run++) {
 		const index = draws.integer(0, size.programs - 1);
 		const startedAt = performance.now();
-		decide(state, index, context);
+		route(state, index, draws);
+		dispatch(state.programs[index]!, context);
 		if (run >= WARM_UP_DECISIONS) {
 			timesUs.push((performance.now() - startedAt) * 1000);
 		}
--- a/packages/measure/src/sim-call.ts
+++ b/packages/measure/src/sim-call.ts
@@ -14,6 +14,8 @@
 	expectedPauseMs: number;
 	isLastOfChain: boolean;
 	sentAtMs: number;
+	/** Time at which its dispatcher sent it to the engine. */
+	submittedAtMs: number;
 	/** Called once, when the engine has finished the call. */
 	finish: () => void;
 };
--- a/packages/measure/src/simulation.ts
+++ b/packages/measure/src/simulation.ts
@@ -1,5 +1,5 @@
 import {assertInvariant} from '@marjoramcove/errors';
-import type {FleetLoad} from '@marjoramcove/scheduler';
+import type {FleetLoad, QueuedCall} from '@marjoramcove/scheduler';
 import {asId, type CallerId, type ProgramId} from '@marjoramcove/types';
 import {readStepMs} from './engine-model.ts';
 import {Fleet, type FleetOptions, REPORT_INTERVAL_MS} from './fleet.ts';
@@ -51,6 +51,29 @@
 	onDone: () => void;
 };
 
+/** What the scheduler may know of a call. */
+const describeCall = (
+	{program, chainKey, turn}: ChainRun,
+	promptTokens: number,
+	issuedAtMs: number,
+): QueuedCall => {
+	const {plan, programId, callerId, attainedTokens} = program;
+	return {
+		programId,
+		callerId,
+		requestId: `${chainKey}/${turn}`,
+		queuedAtMs: issuedAtMs,
+		deadlineMs: Number.isFinite(plan.deadlineMs) ? plan.deadlineMs : undefined,
+		attainedTokens,
+		promptTokens,
+		cachedTokens: 0,
+		expectedCompletionTokens: plan.agent.completionTokens,
+		turn,
+		priority: 0,
+		programStartedAtMs: plan.arrivalMs,
+	};
+};
+
 /** Runs the programs of a workload against a fleet, each call after the previous one. */
 export class Simulation {
 	readonly #clock: VirtualClock;
@@ -144,7 +167,7 @@
 				load.outstandingWorkMs +=
 					(known.prefillTokens * model.prefillMsPerToken +
 						known.completionTokens * decodeMs) /
-					known.relativeSpeed;
+					view.relativeSpeed(engine);
 				load.cacheCapacityTokens += model.cacheCapacityTokens;
 			}
 		}
@@ -232,42 +255,27 @@
 	}
 
 	#issue(run: ChainRun): void {
-		const {program, chain, chainKey, turn, historyTokens} = run;
-		const {plan, callerId, programId} = program;
 		const {callerDelayMs, policy, routers} = this.#options;
-		const plannedTurn = chain.turns[turn]!;
+		const {turn, chain, chainKey, historyTokens} = run;
+		const {newTokens, completionTokens, expectedPauseMs} = chain.turns[turn]!;
 		const issuedAtMs = this.#clock.nowMs;
-		const promptTokens = historyTokens + plannedTurn.newTokens;
+		const promptTokens = historyTokens + newTokens;
 		const call: SimCall = {
 			chainKey,
 			historyTokens,
 			promptTokens,
-			completionTokens: plannedTurn.completionTokens,
+			completionTokens,
 			hitTokens: 0,
 			importedTokens: 0,
-			router: plan.index % routers,
+			router: run.program.plan.index % routers,
 			attempt: 1,
 			engine: 0,
 			work: {calls: 0, prefillTokens: 0, completionTokens: 0},
-			expectedPauseMs: plannedTurn.expectedPauseMs,
+			expectedPauseMs,
 			isLastOfChain: turn === chain.turns.length - 1,
 			sentAtMs: issuedAtMs,
-			queued: {
-				programId,
-				callerId,
-				requestId: `${chainKey}/${turn}`,
-				queuedAtMs: issuedAtMs,
-				deadlineMs: Number.isFinite(plan.deadlineMs)
-					? plan.deadlineMs
-					: undefined,
-				attainedTokens: program.attainedTokens,
-				promptTokens,
-				cachedTokens: 0,
-				expectedCompletionTokens: plan.agent.completionTokens,
-				turn,
-				priority: 0,
-				programStartedAtMs: plan.arrivalMs,
-			},
+			submittedAtMs: issuedAtMs,
+			queued: describeCall(run, promptTokens, issuedAtMs),
 			finish: () => {
 				this.#clock.after(callerDelayMs, () => {
 					this.#settle(run, call, issuedAtMs);
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -12,6 +12,12 @@
 } from './choose-engine.ts';
 export {compareCalls, type OrderContext} from './compare-calls.ts';
 export {decideRetention} from './decide-retention.ts';
+export {
+	createEngineSpeeds,
+	type EngineSpeeds,
+	readRelativeSpeed,
+	recordSpeed,
+} from './engine-speed.ts';
 export {estimateOpenWork} from './estimate-open-work.ts';
 export {estimateWorkMs, type WorkTokens} from './estimate-work.ts';
 export {hasRoom} from './has-room.ts';
