--- a/packages/cli/src/commands/maintain.ts
+++ b/packages/cli/src/commands/maintain.ts
@@ -18,6 +18,7 @@
 import {showProgress} from '../show-progress.ts';
 
 const POLL_MS = 300;
+const REQUEST_EVERY_POLLS = 4;
 
 const readDaemons = async (client: ApiClient): Promise<DaemonEntry[]> => {
 	const {daemons} = await client.read<DaemonsAnswer>('/v1/operator/daemons');
@@ -144,6 +145,36 @@
 /** Disk of a replica by its group; a returned daemon has the same id but another disk. */
 type LostDisks = Map<string, string | undefined>;
 
+// A daemon that was just started announces its disk within a few heartbeats.
+const DISK_ANNOUNCEMENT_MS = 15_000;
+
+/** Asks for the replacement; the refusal of a disk that is not announced yet is returned. */
+const requestReplacement = async (
+	client: ApiClient,
+	argv: ReplaceArguments,
+): Promise<MarjoramcoveError | undefined> => {
+	try {
+		await client.json({
+			method: 'POST',
+			path: '/v1/operator/replicas/replace',
+			body: {
+				...(argv.group !== undefined && {groupId: argv.group}),
+				lostDaemonId: argv.lost,
+				newDaemonId: argv.with,
+			},
+			repeatable: true,
+			timeoutMs: 60_000,
+		});
+		return undefined;
+	} catch (error) {
+		if (error instanceof MarjoramcoveError && error.reason === 'disk-unknown') {
+			return error;
+		}
+
+		throw error;
+	}
+};
+
 /** Replaces the replicas of a lost disk VM and waits until the new ones are voters. */
 export const runReplacement = async (
 	context: CommandContext,
@@ -157,17 +188,6 @@
 			replicas.find(({daemonId}) => daemonId === argv.lost)?.diskId,
 		]),
 	);
-	await client.json({
-		method: 'POST',
-		path: '/v1/operator/replicas/replace',
-		body: {
-			...(argv.group !== undefined && {groupId: argv.group}),
-			lostDaemonId: argv.lost,
-			newDaemonId: argv.with,
-		},
-		repeatable: true,
-		timeoutMs: 60_000,
-	});
 	let left = 'all groups';
 	return showProgress(
 		context.output,
@@ -197,39 +217,73 @@
 	);
 };
 
+// Longer than a leader takes to notice that a replica is down, at the default settings.
+const LIVENESS_MS = 5000;
+
+/**
+ * Whether a group has the new replica as a voter. A daemon that replaces itself needs a disk other than
+ * the lost one, or a replica that has stayed live, because then its disk was not lost.
+ */
 const isReplaced = (
 	group: GroupEntry,
-	{
-		lost,
-		with: replacement,
-		lostDisks,
-	}: ReplaceArguments & {lostDisks: LostDisks},
+	argv: ReplaceArguments & {lostDisks: LostDisks},
+	elapsedMs: number,
 ): boolean => {
-	const lostDisk = lostDisks.get(group.groupId);
-	const isLost = ({daemonId, diskId}: ReplicaEntry) =>
-		daemonId === lost && (lost !== replacement || diskId === lostDisk);
+	if (group.repair) {
+		return false;
+	}
+
+	const {lost, with: replacement, lostDisks} = argv;
+	const voter = group.replicas.find(
+		({daemonId, role}) => daemonId === replacement && role === 'voter',
+	);
+	if (lost === replacement) {
+		return (
+			voter !== undefined &&
+			(voter.diskId !== lostDisks.get(group.groupId) ||
+				(voter.isLive === true && elapsedMs > LIVENESS_MS))
+		);
+	}
+
 	return (
-		!group.repair &&
-		!group.replicas.some((replica) => isLost(replica)) &&
-		group.replicas.some(
-			({daemonId, role}) => daemonId === replacement && role === 'voter',
-		)
+		voter !== undefined &&
+		!group.replicas.some(({daemonId}) => daemonId === lost)
 	);
 };
 
+const createRepairError = (left: GroupEntry[]): MarjoramcoveError =>
+	new MarjoramcoveError(
+		`The groups ${left.map(({groupId}) => groupId).join(', ')} are not repaired yet.`,
+		{
+			reason: 'repair-not-finished',
+			verdict: 'ran',
+			hint: 'The repair goes on; see marjoramcove replication status.',
+		},
+	);
+
 const waitForReplicas = async (
 	client: ApiClient,
 	argv: ReplaceArguments & {lostDisks: LostDisks},
 	report: (left: GroupEntry[]) => void,
 ): Promise<GroupEntry[]> => {
-	const deadline = Date.now() + (argv.timeoutMs ?? 300_000);
+	const startMs = Date.now();
+	const deadline = startMs + (argv.timeoutMs ?? 300_000);
 	let left: GroupEntry[] = [];
-	while (Date.now() < deadline) {
+	for (let poll = 0; Date.now() < deadline; poll++) {
+		const elapsedMs = Date.now() - startMs;
+		// A leader that still knows the old disk answers without beginning a repair.
+		if (poll % REQUEST_EVERY_POLLS === 0 && left.every(({repair}) => !repair)) {
+			const refusal = await requestReplacement(client, argv);
+			if (refusal && elapsedMs > DISK_ANNOUNCEMENT_MS) {
+				throw refusal;
+			}
+		}
+
 		const groups = await readGroups(client);
 		const wanted = groups.filter(
 			({groupId}) => argv.group === undefined || groupId === argv.group,
 		);
-		left = wanted.filter((group) => !isReplaced(group, argv));
+		left = wanted.filter((group) => !isReplaced(group, argv, elapsedMs));
 		report(left);
 		if (left.length === 0) {
 			return wanted;
@@ -238,12 +292,5 @@
 		await sleep(POLL_MS);
 	}
 
-	throw new MarjoramcoveError(
-		`The groups ${left.map(({groupId}) => groupId).join(', ')} are not repaired yet.`,
-		{
-			reason: 'repair-not-finished',
-			verdict: 'ran',
-			hint: 'The repair goes on; see marjoramcove replication status.',
-		},
-	);
+	throw createRepairError(left);
 };
--- /dev/null
+++ b/packages/integration/src/i6-budget.test.ts
@@ -0,0 +1,170 @@
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import {errorOf, TestBed, waitFor} from '@marjoramcove/test-support';
+import {isRefused} from './helpers/retry-refused.ts';
+import {settleQuietly} from './helpers/settle-quietly.ts';
+import {showLogsOnFailure} from './helpers/show-logs.ts';
+
+describe('I6 budget', () => {
+	let bed: TestBed;
+
+	beforeAll(async () => {
+		bed = await TestBed.start({daemonCount: 5, engineCount: 2});
+	});
+
+	afterEach(async (context) => {
+		showLogsOnFailure(bed, context);
+		for (const engine of bed.engines) {
+			engine.clearFaults();
+			if (!engine.running) {
+				await engine.start();
+			}
+		}
+
+		for (const daemon of bed.cluster.daemons) {
+			if (!daemon.running) {
+				daemon.start();
+			}
+		}
+
+		await bed.cluster.ready();
+	});
+
+	afterAll(async () => {
+		await bed.stop();
+	});
+
+	/** Tokens that the engines really used for programs, whatever the daemons recorded. */
+	const usedTokens = (programs: string[]): number => {
+		let sum = 0;
+		for (const engine of bed.engines) {
+			for (const call of engine.calls) {
+				if (call.programId !== undefined && programs.includes(call.programId)) {
+					sum += call.readUsedTokens();
+				}
+			}
+		}
+
+		return sum;
+	};
+
+	/** Calls a model until the budget refuses; other refusals are repeated. */
+	const spendAll = async (daemonId: string, programId: string) =>
+		waitFor(
+			'the budget to be spent',
+			async () => {
+				const answer = await bed
+					.caller(daemonId)
+					.callModel(programId, 'More. [tokens=50]', {maxTokens: 50});
+				const reason = errorOf(answer)?.reason;
+				return isRefused(answer) || reason === undefined ? undefined : reason;
+			},
+			{timeoutMs: 30_000, intervalMs: 1},
+		);
+
+	it('refuses the call that would exceed the token budget', async () => {
+		// Guards against a check of what was spent instead of what is reserved.
+		const programId = await bed
+			.caller('d4')
+			.openProgram({budget: {tokens: 1000, turns: 100, wallTimeMs: 60_000}});
+		const reason = await spendAll('d4', programId);
+		expect(reason).toBe('token-budget');
+		expect(usedTokens([programId])).toBeLessThanOrEqual(1000);
+		expect(usedTokens([programId])).toBeGreaterThan(0);
+	});
+
+	it('refuses the call after the last turn', async () => {
+		// Guards against an off-by-one in the turn limit.
+		const programId = await bed
+			.caller('d4')
+			.openProgram({budget: {tokens: 100_000, turns: 3, wallTimeMs: 60_000}});
+		const reason = await spendAll('d4', programId);
+		expect(reason).toBe('turn-limit');
+		const calls = bed.engines
+			.flatMap((engine) => engine.calls)
+			.filter((call) => call.programId === programId);
+		expect(calls).toHaveLength(3);
+	});
+
+	it('bounds a program and its parallel sub-agents together', async () => {
+		// Guards against sub-agents that each get the whole budget.
+		const budget = {tokens: 2000, turns: 100, wallTimeMs: 60_000};
+		const parent = await bed.caller('d4').openProgram({budget});
+		const opened = await Promise.all(
+			['d4', 'd5', 'd1', 'd2'].map(async (daemonId) =>
+				bed.caller(daemonId).tryOpenProgram({
+					parent,
+					budget: {...budget, tokens: 900, turns: 20},
+				}),
+			),
+		);
+		const children = opened
+			.filter(({status}) => status === 201)
+			.map(({body}) => String(body.programId));
+		expect(children.length).toBeGreaterThan(0);
+		expect(children.length).toBeLessThanOrEqual(2);
+		await Promise.all(
+			[parent, ...children].map(async (programId) => spendAll('d5', programId)),
+		);
+		expect(usedTokens([parent, ...children])).toBeLessThanOrEqual(2000);
+	});
+
+	it('charges attempts that were lost with their engine or dispatcher', async () => {
+		// Guards against a retry that gets a fresh reservation for free.
+		const budget = {tokens: 1500, turns: 100, wallTimeMs: 60_000};
+		const programId = await bed.caller('d4').openProgram({budget});
+		for (const engine of bed.engines) {
+			engine.injectFault({kind: 'reset-after', bytes: 2000});
+			engine.injectFault({kind: 'die-after', bytes: 2000});
+		}
+
+		const reviving = setInterval(() => {
+			for (const engine of bed.engines) {
+				if (!engine.running) {
+					void settleQuietly(engine.start());
+				}
+			}
+		}, 500);
+		try {
+			const reason = await spendAll('d4', programId);
+			expect(reason).toBe('token-budget');
+		} finally {
+			clearInterval(reviving);
+		}
+
+		expect(usedTokens([programId])).toBeLessThanOrEqual(1500);
+	});
+
+	it('keeps the budget over a change of owner', async () => {
+		// Guards against a new owner that starts with an empty account.
+		const budget = {tokens: 1500, turns: 100, wallTimeMs: 60_000};
+		const programId = await bed.caller('d4').openProgram({budget});
+		const first = await bed
+			.caller('d4')
+			.callModel(programId, 'First. [tokens=50]', {maxTokens: 50});
+		expect(first.status).toBe(200);
+		for (const daemon of bed.cluster.diskDaemons) {
+			await daemon.kill();
+			daemon.start();
+			await bed.cluster.ready();
+		}
+
+		const reason = await spendAll('d4', programId);
+		expect(reason).toBe('token-budget');
+		expect(usedTokens([programId])).toBeLessThanOrEqual(1500);
+	});
+
+	it('ends a program whose wall time is over and releases its memory', async () => {
+		// Guards against a program that outlives its time budget.
+		const programId = await bed
+			.caller('d4')
+			.openProgram({budget: {tokens: 100_000, turns: 100, wallTimeMs: 1500}});
+		await bed.caller('d4').callModel(programId, 'Hello.');
+		const reason = await spendAll('d4', programId);
+		expect(['wall-time-limit', 'program-ended']).toContain(reason);
+		await waitFor('the release', () =>
+			bed.engines.every(
+				({held}) => !held.some((entry) => entry.programId === programId),
+			),
+		);
+	});
+});
--- /dev/null
+++ b/packages/integration/src/i7-fencing.test.ts
@@ -0,0 +1,141 @@
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import {
+	describeEngine,
+	errorOf,
+	TestBed,
+	waitFor,
+} from '@marjoramcove/test-support';
+import {findLeader, findOther} from './helpers/find-roles.ts';
+import {showLogsOnFailure} from './helpers/show-logs.ts';
+
+const VERSIONS = ['2', '3', '4', '5'];
+
+describe('I7 fencing', () => {
+	let bed: TestBed;
+
+	beforeAll(async () => {
+		bed = await TestBed.start({
+			daemonCount: 5,
+			engineCount: 2,
+			proxied: true,
+			perEngine: [{checksFencing: true}, {checksFencing: false}],
+		});
+	});
+
+	afterEach(async (context) => {
+		showLogsOnFailure(bed, context);
+		bed.cluster.heal();
+		for (const daemon of bed.cluster.daemons) {
+			daemon.signal('SIGCONT');
+		}
+
+		await bed.cluster.ready();
+	});
+
+	afterAll(async () => {
+		await bed.stop();
+	});
+
+	const wantVersion = async (version: string, daemonId: string) => {
+		await waitFor('the change to be accepted', async () => {
+			const answer = await bed.sendChange(
+				bed.engines.map((engine, index) => {
+					const resource = describeEngine(`engine-${index + 1}`, engine);
+					return {
+						type: 'apply',
+						resource: {
+							...resource,
+							spec: {
+								...resource.spec,
+								desired: {
+									models: ['agent-large'],
+									adapters: [],
+									version,
+									role: 'mixed',
+								},
+							},
+						},
+					};
+				}),
+				{daemonId},
+			);
+			if (answer.status === 200) {
+				return true;
+			}
+
+			throw new Error(JSON.stringify(errorOf(answer)));
+		});
+	};
+
+	const expectVersion = async (version: string) => {
+		await waitFor(
+			`version ${version} on all engines`,
+			() =>
+				bed.engines.every((engine) => engine.orders.state.version === version),
+			{timeoutMs: 30_000},
+		);
+	};
+
+	/** Fails when an engine that checks fencing numbers executed an older one after a newer one. */
+	const expectOrdersFenced = () => {
+		const numbers = bed.engines[0]!.orders.executed.map(
+			(order) => order.fencingNumber,
+		);
+		expect(numbers).toEqual(numbers.toSorted((a, b) => a - b));
+	};
+
+	it.each([
+		['both', 0],
+		['outgoing', 1],
+		['incoming', 2],
+	] as const)(
+		'replaces a leader behind a silent partition: %s',
+		async (direction, index) => {
+			// Guards against an old leader whose orders overwrite those of the new one.
+			const version = VERSIONS[index]!;
+			const leader = await findLeader(bed.caller('d5'), 'config');
+			bed.cluster.isolate(leader, direction);
+			const observer = findOther(bed, leader);
+			await findLeader(bed.caller(observer), 'config', leader);
+			await wantVersion(version, observer);
+			await expectVersion(version);
+			bed.cluster.heal();
+			await bed.cluster.ready();
+			await expectVersion(version);
+			expectOrdersFenced();
+		},
+	);
+
+	it('replaces a frozen leader and ignores it when it resumes', async () => {
+		// Guards against a leader that acts on what it knew before it was frozen.
+		const version = VERSIONS[3]!;
+		const leader = await findLeader(bed.caller('d5'), 'config');
+		bed.cluster.daemon(leader).signal('SIGSTOP');
+		const observer = findOther(bed, leader);
+		await findLeader(bed.caller(observer), 'config', leader);
+		await wantVersion(version, observer);
+		await expectVersion(version);
+		bed.cluster.daemon(leader).signal('SIGCONT');
+		await bed.cluster.ready();
+		await waitFor('the old leader to follow', async () => {
+			const known = await findLeader(bed.caller(leader), 'config');
+			return known !== leader;
+		});
+		await expectVersion(version);
+		expectOrdersFenced();
+	});
+
+	it('refuses an order with an old fencing number', async () => {
+		// Guards against an engine whose check is never exercised by these tests.
+		const engine = bed.engines[0]!;
+		const {fencingNumber} = engine.orders;
+		expect(fencingNumber).toBeGreaterThan(0);
+		const answer = engine.orders.execute({
+			fencingNumber: fencingNumber - 1,
+			orderId: 'old',
+			type: 'set-version',
+			version: '0',
+		});
+		expect(answer.status).toBe(409);
+	});
+});
