Start the daemon with small semi-spaces

Cause: an idle entry daemon had 101 MB resident, 54 MB of it private, of the 64 MB that control may use; the young generation of the heap grows to 48 MB. Conclusion: the first line of the binary passes the flag. The rest of the resident memory is the file pages of Node.js itself (50 MB).

--- a/packages/daemon/src/bin.ts
+++ b/packages/daemon/src/bin.ts
@@ -1,4 +1,5 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=1
+// Three semi-spaces of 16 MB each would take most of the 64 MB that control may use on a VM.
 import process from 'node:process';
 import {runCli} from './run-cli.ts';
 
--- a/packages/measure/src/process-usage.ts
+++ b/packages/measure/src/process-usage.ts
@@ -9,13 +9,15 @@
 	atMs: number;
 	cpuMs: number;
 	residentBytes: number;
+	/** Resident bytes that no file backs, so that the system cannot drop them. */
+	privateBytes: number;
 	/** Bytes that system calls have read and written, on sockets and files. */
 	readBytes: number;
 	writtenBytes: number;
 };
 
 const readField = (text: string, name: string): number =>
-	Number(new RegExp(`^${name}: (\\d+)$`, 'mv').exec(text)?.[1] ?? 0);
+	Number(new RegExp(`^${name}:\\s+(\\d+)`, 'mv').exec(text)?.[1] ?? 0);
 
 /**
  * Reads the usage of a process.
@@ -35,6 +37,8 @@
 		atMs: performance.now(),
 		cpuMs: (ticks / TICKS_PER_SECOND) * 1000,
 		residentBytes: pages * PAGE_SIZE_BYTES,
+		privateBytes:
+			readField(readFileSync(`/proc/${pid}/status`, 'utf8'), 'RssAnon') * 1024,
 		readBytes: readField(io, 'rchar'),
 		writtenBytes: readField(io, 'wchar'),
 	};
--- a/packages/measure/src/run-control.ts
+++ b/packages/measure/src/run-control.ts
@@ -19,6 +19,7 @@
 	'callsPerSecond',
 	'cpuPercent',
 	'residentMegabytes',
+	'privateMegabytes',
 	'kilobytesPerSecond',
 	'cpuMsPerCall',
 	'kilobytesPerCall',
@@ -90,6 +91,9 @@
 			residentMegabytes: mean(
 				members.map(({after}) => after.residentBytes / 1_048_576),
 			),
+			privateMegabytes: mean(
+				members.map(({after}) => after.privateBytes / 1_048_576),
+			),
 			kilobytesPerSecond: mean(kilobytes) / mean(seconds),
 			cpuMsPerCall: calls > 0 ? sum(cpuMs) / calls : null,
 			kilobytesPerCall: calls > 0 ? sum(kilobytes) / calls : null,
--- a/packages/test-support/src/cluster/daemon-process.ts
+++ b/packages/test-support/src/cluster/daemon-process.ts
@@ -11,6 +11,9 @@
 	new URL('../../../daemon/dist/bin.js', import.meta.url),
 );
 
+/** Options of Node.js in the first line of the daemon's binary. */
+const DAEMON_NODE_OPTIONS = ['--max-semi-space-size=1'];
+
 /** How a daemon process ended. */
 export type ExitStatus = {code: number | null; signal: string | null};
 
@@ -62,7 +65,7 @@
 		const log = openSync(this.logFile, 'a');
 		const child = spawn(
 			process.execPath,
-			[daemonBinary, '--settings', this.settingsFile],
+			[...DAEMON_NODE_OPTIONS, daemonBinary, '--settings', this.settingsFile],
 			{stdio: ['ignore', log, log], env: {...process.env, ...env}},
 		);
 		closeSync(log);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,8 +5,9 @@
 	ssr: {resolve: {conditions: ['source'], externalConditions: ['source']}},
 	test: {
 		include: ['packages/*/src/**/*.test.ts'],
-		maxWorkers: 5,
-		testTimeout: 30_000,
+		// Each worker of an integration test runs up to a dozen processes.
+		maxWorkers: 4,
+		testTimeout: 60_000,
 		hookTimeout: 60_000,
 	},
 });
