Move replicas of live daemons in the soak run and show only committed members

Status now shows the committed membership, and changeReplicas waits for the commit. Adds tests of the formation of groups.

--- a/packages/consensus/src/change-replicas.ts
+++ b/packages/consensus/src/change-replicas.ts
@@ -30,7 +30,16 @@
 	for (let attempt = 1; ; attempt++) {
 		try {
 			const group = findGroup();
-			const planned = planReplicaChange(group.state, change, announced);
+			const {state} = group;
+			if (state.memberships.at(-1)!.index > state.commitIndex) {
+				// The change under way may still be undone, so nothing can be planned on it.
+				throw new RefusedError(`Group ${state.groupId} is being changed.`, {
+					reason: 'change-under-way',
+					hint: 'Retry after a while.',
+				});
+			}
+
+			const planned = planReplicaChange(state, change, announced);
 			if (!planned) {
 				return;
 			}
--- a/packages/consensus/src/describe-group.ts
+++ b/packages/consensus/src/describe-group.ts
@@ -1,6 +1,6 @@
 import type {DaemonId} from '@marjoramcove/types';
 import {findReplica, isVoter, type Membership} from './membership.ts';
-import {currentMembership} from './raft-state.ts';
+import {membershipAt} from './raft-state.ts';
 import type {RaftState} from './raft-types.ts';
 import type {ReplicaGroup} from './replica-group.ts';
 import type {
@@ -9,8 +9,12 @@
 	ReplicaStatus,
 } from './replica-options.ts';
 
+/** A change that is not committed yet may still be undone, so it is not shown. */
+const committedMembership = (state: RaftState) =>
+	membershipAt(state, state.commitIndex);
+
 const describeReplicas = (state: RaftState, nowMs: number): ReplicaStatus[] => {
-	const membership = currentMembership(state);
+	const membership = committedMembership(state);
 	return [...membership.voters, ...membership.learners].map(
 		({daemonId, diskId}) => {
 			const base: ReplicaStatus = {
@@ -74,7 +78,7 @@
 	nowMs: number,
 ): GroupStatus => {
 	const {state, groupId} = group;
-	const membership = currentMembership(state);
+	const membership = committedMembership(state);
 	const self = findReplica(membership, state.selfId);
 	return {
 		groupId,
--- /dev/null
+++ b/packages/consensus/src/group-formation.test.ts
@@ -0,0 +1,143 @@
+import {asId, type DaemonId, type DiskId} from '@marjoramcove/types';
+import {describe, expect, it} from 'vitest';
+import {GroupFormation} from './group-formation.ts';
+import type {GroupPort, PeerAddress} from './group-port.ts';
+import type {Formation} from './log-records.ts';
+import {EMPTY_MEMBERSHIP, type Membership} from './membership.ts';
+import type {PeerMessage} from './peer-messages.ts';
+import {VirtualTime} from './virtual-time.ts';
+
+const replica = (name: string, disk = `disk-${name}`) => ({
+	daemonId: asId<DaemonId>(name),
+	diskId: asId<DiskId>(disk),
+});
+
+const first: Membership = {
+	voters: [replica('a'), replica('b'), replica('c')],
+	learners: [],
+};
+
+/** The formation on daemon `name`; `finishSave` lets a write become durable. */
+const createFormation = (name: string, isPristine = true) => {
+	const sent: Array<{to: PeerAddress; message: PeerMessage}> = [];
+	const saved: Formation[] = [];
+	const saves: Array<() => void> = [];
+	let joined: Membership | undefined;
+	const formation = new GroupFormation({
+		port: {
+			self: replica(name),
+			clock: new VirtualTime(),
+			send(to: PeerAddress, message: PeerMessage) {
+				sent.push({to, message});
+			},
+		} as unknown as GroupPort,
+		initialVoters: ['a', 'b', 'c'].map((id) => ({
+			daemonId: asId<DaemonId>(id),
+		})),
+		formation: {},
+		hasLeader: () => false,
+		isPristine: () => isPristine,
+		currentMembership: () => joined ?? EMPTY_MEMBERSHIP,
+		async save(record) {
+			saved.push(record);
+			await new Promise<void>((resolve) => {
+				saves.push(resolve);
+			});
+		},
+		join(membership) {
+			joined = membership;
+		},
+	});
+	return {
+		formation,
+		sent,
+		saved,
+		joined: () => joined,
+		async finishSave() {
+			for (const resolve of saves.splice(0)) {
+				resolve();
+			}
+
+			await new Promise((resolve) => {
+				setImmediate(resolve);
+			});
+		},
+	};
+};
+
+const result = (formedBy: string, membership = first) => ({
+	type: 'form-result' as const,
+	formedBy: asId<DiskId>(formedBy),
+	membership,
+	current: membership,
+});
+
+describe('GroupFormation', () => {
+	it('promises only after the promise is durable', async () => {
+		const b = createFormation('b');
+		b.formation.receive(replica('a'), {type: 'form-query'});
+		expect(b.sent).toEqual([]);
+		await b.finishSave();
+		expect(b.sent).toEqual([
+			{to: replica('a'), message: {type: 'form-promise'}},
+		]);
+	});
+
+	it('takes no protocol messages between the promise and the result', async () => {
+		const b = createFormation('b');
+		expect(b.formation.isOpen).toBe(true);
+		b.formation.receive(replica('a'), {type: 'form-query'});
+		await b.finishSave();
+		expect(b.formation.isOpen).toBe(false);
+		b.formation.receive(replica('a'), result('disk-a'));
+		expect(b.formation.isOpen).toBe(false);
+		await b.finishSave();
+		expect(b.formation.isOpen).toBe(true);
+		expect(b.joined()).toEqual(first);
+	});
+
+	it('promises nothing once it has voted or taken an entry', async () => {
+		const b = createFormation('b', false);
+		b.formation.receive(replica('a'), {type: 'form-query'});
+		await b.finishSave();
+		expect(b.sent).toEqual([]);
+		expect(b.saved).toEqual([]);
+	});
+
+	it('ignores a coordinator disk that was given up, also its late result', async () => {
+		const b = createFormation('b');
+		b.formation.receive(replica('a', 'disk-old'), {type: 'form-query'});
+		await b.finishSave();
+		b.formation.receive(replica('a', 'disk-new'), {type: 'form-query'});
+		await b.finishSave();
+		b.sent.length = 0;
+		b.formation.receive(replica('a', 'disk-old'), {type: 'form-query'});
+		b.formation.receive(replica('a', 'disk-old'), result('disk-old'));
+		await b.finishSave();
+		expect(b.sent).toEqual([]);
+		expect(b.joined()).toBeUndefined();
+	});
+
+	it('forms the group when every other initial voter has promised', async () => {
+		const a = createFormation('a');
+		a.formation.receive(replica('b'), {type: 'form-promise'});
+		expect(a.saved).toEqual([]);
+		a.formation.receive(replica('c'), {type: 'form-promise'});
+		await a.finishSave();
+		expect(a.joined()).toEqual(first);
+	});
+
+	it('never forms a second membership when the coordinator lost its disk', async () => {
+		const a = createFormation('a');
+		const known = {
+			voters: [replica('a', 'disk-lost'), replica('b'), replica('c')],
+			learners: [],
+		};
+		a.formation.receive(replica('b'), result('disk-lost', known));
+		a.formation.receive(replica('b'), {type: 'form-promise'});
+		a.formation.receive(replica('c'), {type: 'form-promise'});
+		await a.finishSave();
+		expect(a.saved).toEqual([]);
+		expect(a.joined()).toBeUndefined();
+	});
+});
--- a/packages/consensus/src/group-formation.ts
+++ b/packages/consensus/src/group-formation.ts
@@ -19,6 +19,8 @@
 	initialVoters: readonly InitialVoter[];
 	/** What the disk holds. */
 	formation: Formation;
+	/** Whether a live leader is known. */
+	hasLeader: () => boolean;
 	/** Whether the replica has never voted nor taken an entry. */
 	isPristine: () => boolean;
 	/** The present membership, as far as it is known. */
@@ -99,11 +101,15 @@
 		return findReplica(currentMembership(), diskId) !== undefined;
 	}
 
-	/** Asks the other initial voters as long as this replica does not belong to the group. */
+	/**
+	 * Asks the other replicas as long as this one does not belong to the group, or hears no leader:
+	 * it may have been removed without having received the entry that says so.
+	 */
 	tick(): void {
 		const {port} = this.#options;
 		const nowMs = port.clock.nowMs();
-		if (this.#isMember || nowMs < this.#askDueMs) {
+		const isServed = this.#isMember && this.#options.hasLeader();
+		if (isServed || nowMs < this.#askDueMs) {
 			return;
 		}
 
--- a/packages/consensus/src/replica-group.ts
+++ b/packages/consensus/src/replica-group.ts
@@ -226,6 +226,7 @@
 			port: this.#port,
 			initialVoters,
 			formation: log.formation,
+			hasLeader: () => this.state.leader !== undefined,
 			isPristine: () => isPristine(this.state),
 			currentMembership: () => currentMembership(this.state),
 			save: async (formation) => {
--- a/packages/soak/src/consensus/nemesis.ts
+++ b/packages/soak/src/consensus/nemesis.ts
@@ -38,6 +38,7 @@
 			this.#loseDisk,
 			this.#drain,
 			this.#disturbElection,
+			this.#move,
 		].map((fault) => fault.bind(this));
 	}
 
@@ -229,6 +230,20 @@
 		}
 	}
 
+	/** Moves the replicas of a live daemon to the spare one, which may be the leader's daemon. */
+	#move() {
+		const {daemons, random, events} = this.#cluster;
+		const joining = this.#spare;
+		if (this.#operator.isIdle && joining.diskId) {
+			const leaving = random.pick(
+				daemons.filter((daemon) => daemon !== joining),
+			);
+			events.note('move', `${leaving.id} to ${joining.id}`);
+			this.#spare = leaving;
+			this.#operator.orderMove(leaving, joining);
+		}
+	}
+
 	#replace(lost: SimulatedDaemon) {
 		const {random} = this.#cluster;
 		if (random.chance(0.5) && this.#spare.diskId) {
