--- /dev/null
+++ b/packages/measure/src/bin.ts
@@ -0,0 +1,142 @@
+#!/usr/bin/env node
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {plotLatency} from './plot-latency.ts';
+import {formatMarkdown, formatTable} from './print-table.ts';
+import {readArguments, type ScenarioName} from './read-arguments.ts';
+import {averageRows, type Row} from './row.ts';
+import {runLive} from './run-live.ts';
+import {CONTROL_COLUMNS, runControl} from './run-control.ts';
+import {runFailures} from './run-failures.ts';
+import {runScenario} from './run-scenario.ts';
+import {runTarget, TARGET_COLUMNS} from './run-target.ts';
+import {BARAMYEON, PIATOTHIKI, type Scenario} from './scenarios.ts';
+
+const KEY_COLUMNS = ['scenario', 'load', 'policy'];
+const COLUMNS = [
+	...KEY_COLUMNS,
+	'programs',
+	'finishedInTimePrograms',
+	'refusedPrograms',
+	'programLatencyP50Ms',
+	'programLatencyP95Ms',
+	'programLatencyP95WithRefusedMs',
+	'programLatencyP99Ms',
+	'programLatencyMeanMs',
+	'ratioToLowerBoundMean',
+	'wastedPrefixShare',
+	'unusedCacheTokenSeconds',
+	'callerSpreadRatio',
+	'callerInTimeShareMin',
+	'callerInTimeShareMax',
+];
+const FAILURE_COLUMNS = [
+	...KEY_COLUMNS,
+	'finishedInTimePrograms',
+	'programLatencyP95Ms',
+	'steadySlowdown',
+	'faultSlowdown',
+	'recoveryMs',
+];
+
+type SeedOptions = {
+	live: boolean;
+	seed: number;
+	policies?: readonly string[];
+	loads?: number[];
+	cacheTokens?: number;
+};
+
+const adaptScenario = (
+	scenario: Scenario,
+	{loads = scenario.loads, cacheTokens}: SeedOptions,
+): Scenario => ({
+	...scenario,
+	loads,
+	model: {
+		...scenario.model,
+		cacheCapacityTokens: cacheTokens ?? scenario.model.cacheCapacityTokens,
+	},
+});
+
+const runSeed = async (
+	name: ScenarioName,
+	options: SeedOptions,
+): Promise<Row[]> => {
+	if (options.live) {
+		return runLive(name === 'piatothiki' ? PIATOTHIKI : BARAMYEON, options);
+	}
+
+	switch (name) {
+		case 'baramyeon': {
+			return runScenario(adaptScenario(BARAMYEON, options), options);
+		}
+
+		case 'piatothiki': {
+			return runScenario(adaptScenario(PIATOTHIKI, options), options);
+		}
+
+		case 'failures': {
+			return runFailures(BARAMYEON, options);
+		}
+
+		case 'target': {
+			return runTarget(options.seed);
+		}
+
+		case 'control': {
+			return runControl(options.seed);
+		}
+	}
+};
+
+const SPECIAL_COLUMNS: Partial<Record<ScenarioName, string[]>> = {
+	target: TARGET_COLUMNS,
+	failures: FAILURE_COLUMNS,
+	control: CONTROL_COLUMNS,
+};
+
+const readColumns = (name: ScenarioName): string[] =>
+	SPECIAL_COLUMNS[name] ?? COLUMNS;
+
+const writePlots = (folder: string, name: ScenarioName, rows: Row[]): void => {
+	mkdirSync(folder, {recursive: true});
+	for (const figure of ['programLatencyP50Ms', 'programLatencyP95Ms']) {
+		writeFileSync(
+			path.join(folder, `${name}-${figure}.svg`),
+			plotLatency(rows, figure, name),
+		);
+	}
+};
+
+const main = async (): Promise<void> => {
+	const {seed, seeds, policies, loads, cacheTokens, ...rest} = readArguments();
+	const {out, plots, markdown} = rest;
+	const name = rest.scenario as ScenarioName;
+	const rows: Row[] = [];
+	for (let offset = 0; offset < seeds; offset++) {
+		rows.push(
+			...(await runSeed(name, {
+				seed: seed + offset,
+				policies: policies?.split(','),
+				loads: loads?.split(',').map(Number),
+				cacheTokens,
+				live: rest.live,
+			})),
+		);
+	}
+
+	const means = averageRows(rows);
+	const format = markdown ? formatMarkdown : formatTable;
+	console.log(format(means, readColumns(name)));
+	if (out) {
+		mkdirSync(path.dirname(path.resolve(out)), {recursive: true});
+		writeFileSync(out, `${JSON.stringify(rows, undefined, '\t')}\n`);
+	}
+
+	if (plots && (name === 'baramyeon' || name === 'piatothiki')) {
+		writePlots(plots, name, means);
+	}
+};
+
+await main();
