Make the deliberate vote faults turn red again

The fault election-disturbed now also cuts the crashed voter off from the candidate that has its vote, leaves out the crash in half of the cases, and is drawn twice as often. Independently of the assertions in the protocol, the run now checks that no term of a group has two leaders.

--- a/packages/soak/src/consensus/cluster.ts
+++ b/packages/soak/src/consensus/cluster.ts
@@ -36,6 +36,8 @@
 	readonly groupIds: readonly GroupId[];
 	readonly daemons: SimulatedDaemon[] = [];
 	readonly #random: RandomSource;
+	/** Disk of the leader of each term. */
+	readonly #leaders = new Map<string, string>();
 
 	constructor(
 		random: RandomSource,
@@ -70,6 +72,9 @@
 					onFatal: (daemon, error) => {
 						this.#noteFatal(daemon, error);
 					},
+					onLeader: (daemon, groupId, term) => {
+						this.#noteLeader(daemon, groupId, term);
+					},
 					...(fault === undefined ? {} : CONSENSUS_FAULTS[fault]),
 				}),
 			);
@@ -110,6 +115,18 @@
 		});
 	}
 
+	#noteLeader(daemon: SimulatedDaemon, groupId: GroupId, term: number) {
+		const key = `${groupId} in term ${term}`;
+		const known = this.#leaders.get(key);
+		if (known !== undefined && known !== daemon.diskId) {
+			this.events.fail(
+				`${groupId} has two leaders in term ${term}: ${known} and ${daemon.diskId}`,
+			);
+		}
+
+		this.#leaders.set(key, daemon.diskId!);
+	}
+
 	#find(id: string) {
 		return this.daemons.find((daemon) => daemon.id === id);
 	}
--- a/packages/soak/src/consensus/nemesis.ts
+++ b/packages/soak/src/consensus/nemesis.ts
@@ -38,6 +38,7 @@
 			this.#loseDisk,
 			this.#drain,
 			this.#disturbElection,
+			this.#disturbElection,
 			this.#move,
 		].map((fault) => fault.bind(this));
 	}
@@ -259,7 +260,7 @@
 
 	/**
 	 * Forces an election among replicas with slow disks of which only one, the hub, reaches all
-	 * others, and crashes the hub shortly after it was asked for its vote.
+	 * others, and may crash the hub shortly after it was asked for its vote.
 	 */
 	#disturbElection() {
 		const {random, network, daemons, events, time} = this.#cluster;
@@ -287,7 +288,11 @@
 			}
 		}
 
-		this.#crashAfterVote(hub, time.nowMs() + 4000);
+		// Without the crash, two candidates may ask the slow hub in the same term.
+		if (random.chance(0.5)) {
+			this.#crashAfterVote(hub, time.nowMs() + 4000);
+		}
+
 		time.schedule(6000, () => {
 			for (const pair of added) {
 				network.blocked.delete(pair);
@@ -299,18 +304,19 @@
 		});
 	}
 
+	/** Waits for a candidate, then crashes the hub after its vote and cuts it off from that candidate. */
 	#crashAfterVote(hub: SimulatedDaemon, untilMs: number) {
-		const {daemons, time, random} = this.#cluster;
-		const isElection = daemons.some(
-			(daemon) =>
-				daemon !== hub &&
-				daemon.host?.status().some((group) => group.role === 'candidate'),
-		);
+		const {daemons, time, random, network} = this.#cluster;
 		if (this.#isHealed || time.nowMs() > untilMs) {
 			return;
 		}
 
-		if (!isElection) {
+		const candidate = daemons.find(
+			(daemon) =>
+				daemon !== hub &&
+				daemon.host?.status().some((group) => group.role === 'candidate'),
+		);
+		if (!candidate) {
 			time.schedule(2, () => {
 				this.#crashAfterVote(hub, untilMs);
 			});
@@ -321,6 +327,19 @@
 			if (!this.#isHealed) {
 				hub.crash(false);
 				this.#cluster.restartLater(hub, 5);
+				const added = [
+					`${hub.id}>${candidate.id}`,
+					`${candidate.id}>${hub.id}`,
+				];
+				for (const pair of added) {
+					network.blocked.add(pair);
+				}
+
+				time.schedule(4000, () => {
+					for (const pair of added) {
+						network.blocked.delete(pair);
+					}
+				});
 			}
 		});
 	}
--- a/packages/soak/src/consensus/simulated-daemon.ts
+++ b/packages/soak/src/consensus/simulated-daemon.ts
@@ -50,6 +50,8 @@
 	initialIds: readonly DaemonId[];
 	send: (from: string, to: string, bytes: Uint8Array) => void;
 	onFatal: (daemon: SimulatedDaemon, error: unknown) => void;
+	/** A replica of this daemon has become leader. */
+	onLeader: (daemon: SimulatedDaemon, groupId: GroupId, term: number) => void;
 	step?: typeof stepRaft;
 	isSyncSkipped?: (file: string) => boolean;
 	createDiskId?: (daemonId: string) => string;
@@ -142,6 +144,11 @@
 				this.diskId = host.diskId;
 			}
 
+			host.onLeadershipChange((groupId, {isLeader, term}) => {
+				if (isLeader && process === this.#process) {
+					this.#surroundings.onLeader(this, groupId, term);
+				}
+			});
 			for (const groupId of this.#surroundings.groupIds) {
 				const machine = new ListMachine();
 				machines.set(groupId, machine);
