Add soak scenarios for the state machines

The models of the package tests move to packages/soak/src/models, so that the tests and the soak runner use one copy; the tests of the packages import them from there. Scenarios: programs, engine-memory, configuration, lease, fencing.

--- a/packages/engine-control/src/fencing.test.ts
+++ b/packages/engine-control/src/fencing.test.ts
@@ -1,7 +1,7 @@
 import {asId, type ProgramId} from '@marjoramcove/types';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {FencingModel, type FencingStep} from './fencing-model.fixture.ts';
+import {FencingModel, type FencingStep} from '@marjoramcove/soak';
 import {planReleases} from './index.ts';
 
 const steps = fc.array(
--- a/packages/engine-control/src/step-controller.test.ts
+++ b/packages/engine-control/src/step-controller.test.ts
@@ -10,7 +10,7 @@
 	stepController,
 	unfencedWaitMs,
 } from './index.ts';
-import {SimulatedEngine} from './simulated-engine.fixture.ts';
+import {SimulatedEngine} from '@marjoramcove/soak';
 
 const desired = (version: string): EngineState => ({
 	models: ['agent-large'],
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -8,3 +8,18 @@
 } from './scenario.ts';
 export {SCENARIOS} from './scenarios/index.ts';
 export {VirtualTime} from './virtual-time.ts';
+export {
+	type ConfigurationChoice,
+	type ConfigurationFault,
+	ConfigurationModel,
+} from './models/configuration-model.ts';
+export {FencingModel, type FencingStep} from './models/fencing-model.ts';
+export {
+	type LeaseChoice,
+	type LeaseFault,
+	LeaseModel,
+} from './models/lease-model.ts';
+export {type ProgramFault} from './models/program-faults.ts';
+export {ProgramModel, type ProgramStepChoice} from './models/program-model.ts';
+export {runChecked} from './models/run-checked.ts';
+export {SimulatedEngine} from './models/simulated-engine.ts';
--- a/packages/engine-control/src/fencing-model.fixture.ts
+++ b/packages/soak/src/models/fencing-model.ts
@@ -1,20 +1,24 @@
 import {asId, type UpstreamId} from '@marjoramcove/types';
-import type {ControllerAction, ControllerEvent} from './events.ts';
-import {SimulatedEngine} from './simulated-engine.fixture.ts';
 import {
 	agrees,
+	type ControllerAction,
+	type ControllerEvent,
 	type ControllerState,
 	createControllerState,
 	type EngineState,
 	stepController,
-} from './index.ts';
+} from '@marjoramcove/engine-control';
+import {SimulatedEngine} from './simulated-engine.ts';
 
 /** Deliberate faults of the harness; each must be detected. */
-export type FencingFault =
-	| 'engine-forgets-fencing'
-	| 'leader-ignores-lease'
-	| 'leader-skips-wait'
-	| 'leader-stops-reading';
+export const FENCING_FAULTS = [
+	'engine-forgets-fencing',
+	'leader-ignores-lease',
+	'leader-skips-wait',
+	'leader-stops-reading',
+] as const;
+
+export type FencingFault = (typeof FENCING_FAULTS)[number];
 
 /** What happens in one step of 200 ms; `delay` and `luck` are fractions. */
 export type FencingStep = {
--- /dev/null
+++ b/packages/soak/src/models/program-faults.ts
@@ -0,0 +1,53 @@
+import type {ProgramCommand, ProgramsState} from '@marjoramcove/programs';
+
+/** Deliberate faults of the harness; each must be detected. */
+export const PROGRAM_FAULTS = [
+	'append-history-twice',
+	'drop-carves',
+	'drop-records',
+	'drop-refusals',
+	'forget-hold',
+	'forget-open-call',
+	'free-unknown-usage',
+	'ignore-deadline',
+	'resend-after-unknown',
+] as const;
+
+export type ProgramFault = (typeof PROGRAM_FAULTS)[number];
+
+/** Damages what a new owner takes over. */
+export const damageState = (
+	state: ProgramsState,
+	fault: ProgramFault | undefined,
+): void => {
+	for (const program of state.programs.values()) {
+		if (fault === 'drop-carves') {
+			program.carves = undefined;
+			program.carvedTokens = 0;
+			program.carvedTurns = 0;
+		} else if (fault === 'drop-records') {
+			program.records = '';
+		} else if (fault === 'forget-hold' && !program.call) {
+			program.holds = [];
+		} else if (fault === 'forget-open-call') {
+			program.call = undefined;
+		} else if (fault === 'ignore-deadline') {
+			program.deadlineMs += 100_000;
+		}
+	}
+};
+
+/** Bytes of a packed request record. */
+const RECORD_BYTES = 19;
+
+/** Forgets the record that a command has just made. */
+export const dropLastRecord = (
+	state: ProgramsState,
+	command: ProgramCommand,
+): void => {
+	const program =
+		'programId' in command ? state.programs.get(command.programId) : undefined;
+	if (program) {
+		program.records = program.records.slice(0, -RECORD_BYTES);
+	}
+};
--- a/packages/engine-control/src/simulated-engine.fixture.ts
+++ b/packages/soak/src/models/simulated-engine.ts
@@ -1,6 +1,9 @@
 import type {UpstreamId} from '@marjoramcove/types';
-import type {EngineState} from './engine-state.ts';
-import type {ControllerAction, ControllerEvent} from './events.ts';
+import type {
+	ControllerAction,
+	ControllerEvent,
+	EngineState,
+} from '@marjoramcove/engine-control';
 
 type OrderAction = Extract<
 	ControllerAction,
--- a/packages/soak/src/scenarios/index.ts
+++ b/packages/soak/src/scenarios/index.ts
@@ -1,5 +1,19 @@
 import type {Scenario} from '../scenario.ts';
 import {consensusScenario} from './consensus.ts';
+import {
+	configurationScenario,
+	engineMemoryScenario,
+	fencingScenario,
+	leaseScenario,
+	programsScenario,
+} from './machines.ts';
 
 /** All scenarios; a new one is registered here. */
-export const SCENARIOS: readonly Scenario[] = [consensusScenario];
+export const SCENARIOS: readonly Scenario[] = [
+	consensusScenario,
+	programsScenario,
+	engineMemoryScenario,
+	configurationScenario,
+	leaseScenario,
+	fencingScenario,
+];
