--- /dev/null
+++ b/packages/programs/src/limits.test.ts
@@ -0,0 +1,121 @@
+import {asId, type ProgramId, type RequestId} from '@marjoramcove/types';
+import {describe, expect, it} from 'vitest';
+import {
+	acceptCommand,
+	intentOf,
+	openCommand,
+	settleCommand,
+} from './commands.fixture.ts';
+import {
+	createProgramsState,
+	describeProgram,
+	findRequest,
+	pendingReleases,
+	type ProgramCommand,
+	stepPrograms,
+} from './index.ts';
+
+const programId = asId<ProgramId>('p0-a');
+const requestId = (text: string) => asId<RequestId>(text);
+
+/** Applies commands to a new shard with the program `p0-a`. */
+const run = (commands: ProgramCommand[]) => {
+	const budget = {tokens: 1000, turns: 2, wallTimeMs: 60_000};
+	const state = createProgramsState(0);
+	const results = [openCommand({budget}), ...commands].map(
+		(command) => stepPrograms(state, command).result,
+	);
+	return {state, result: results.at(-1)!};
+};
+
+const turn = (id: string): ProgramCommand[] => [
+	acceptCommand({requestId: requestId(id)}),
+	settleCommand({requestId: requestId(id)}),
+];
+
+describe('limits', () => {
+	it('ends an endless loop at the turn limit and releases its memory (failure: a loop holds engine memory)', () => {
+		const {state, result} = run([...turn('r1'), ...turn('r2'), turn('r3')[0]!]);
+		expect(result).toMatchObject({
+			outcome: 'refused',
+			reason: 'turn-limit',
+			verdict: 'not-run',
+			ended: true,
+		});
+		expect(pendingReleases(state)).toHaveLength(1);
+	});
+
+	it('settles a hung tool as tool-timeout that may have run (failure: a hung tool blocks its program)', () => {
+		const {state, result} = run([
+			acceptCommand({kind: 'tool', idempotent: false, timeoutMs: 2000}),
+			{type: 'expire-programs', nowMs: 7999},
+			{type: 'expire-programs', nowMs: 8000},
+		]);
+		expect(result).toMatchObject({cancelled: [{reason: 'tool-timeout'}]});
+		expect(findRequest(state, programId, requestId('r1'))).toMatchObject({
+			record: {outcome: {verdict: 'may-have-run', reason: 'tool-timeout'}},
+		});
+	});
+
+	it('ends a program at its wall time and bounds the timeout of a call (failure: a call outlives its budget)', () => {
+		const {state, result} = run([
+			acceptCommand({nowMs: 59_000, timeoutMs: 30_000}),
+			{type: 'expire-programs', nowMs: 61_000},
+		]);
+		expect(result).toMatchObject({
+			ended: [{programId, reason: 'wall-time-limit'}],
+			cancelled: [{requestId: 'r1', reason: 'wall-time-limit'}],
+		});
+		expect(describeProgram(state, programId)).toMatchObject({
+			phase: 'ending',
+			tokens: {spent: 100, reserved: 0},
+		});
+	});
+
+	it('refuses a call whose worst case does not fit (failure: the token budget is exceeded)', () => {
+		const {result} = run([acceptCommand({reservedTokens: 1001})]);
+		expect(result).toMatchObject({reason: 'token-budget', verdict: 'not-run'});
+	});
+
+	it('keeps the reservation of a lost attempt and ignores its late answer (failure: a late answer is recorded or free)', () => {
+		const retry: ProgramCommand = {
+			type: 'retry-call',
+			nowMs: 2000,
+			programId,
+			requestId: requestId('r1'),
+			lostAttempt: 1,
+			reservedTokens: 100,
+			intent: intentOf({attempt: 2}),
+		};
+		const {state, result} = run([
+			acceptCommand({}),
+			retry,
+			settleCommand({attempt: 1}),
+		]);
+		expect(result).toEqual({outcome: 'ignored', reason: 'attempt-superseded'});
+		expect(describeProgram(state, programId)?.tokens).toMatchObject({
+			spent: 100,
+			reserved: 100,
+		});
+		const tool = run([acceptCommand({idempotent: false}), retry]);
+		expect(tool.result).toMatchObject({reason: 'not-idempotent'});
+	});
+
+	it('refuses a request id with another body and an unexpected turn (failure: two calls share one record)', () => {
+		const reused = run([acceptCommand({}), acceptCommand({bodyHash: 'b2'})]);
+		expect(reused.result).toMatchObject({reason: 'request-id-reused'});
+		const early = run([acceptCommand({expectedTurn: 2})]);
+		expect(early.result).toMatchObject({reason: 'turn-out-of-order'});
+	});
+
+	it('never opens a program from an old copy after its tombstone is dropped (failure: an ended program runs again)', () => {
+		const end = {type: 'end-program', nowMs: 2000, programId, reason: 'done'};
+		const {state, result} = run([
+			end as ProgramCommand,
+			{type: 'expire-programs', nowMs: 700_000},
+			openCommand({}),
+		]);
+		expect(result).toMatchObject({reason: 'command-too-old'});
+		expect(state.programs.size).toBe(0);
+	});
+});
