--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -7,7 +7,6 @@
 	SoakFailureError,
 } from './scenario.ts';
 export {SCENARIOS} from './scenarios/index.ts';
-export {VirtualTime} from './virtual-time.ts';
 export {
 	type ConfigurationChoice,
 	type ConfigurationFault,
@@ -23,3 +22,4 @@
 export {ProgramModel, type ProgramStepChoice} from './models/program-model.ts';
 export {runChecked} from './models/run-checked.ts';
 export {SimulatedEngine} from './models/simulated-engine.ts';
+export {VirtualTime} from '@marjoramcove/consensus';
