Let only the dispatcher check the health of an upstream

Cause: each disk daemon checked all upstreams every second. At target size that is 1,700 checks and load reads per second on each owner, more than the processor share of control. Now the dispatcher checks its own upstreams (about 4 at target size); heartbeats carry only upstreams in trouble, and the outcome of a call carries the load report of its engine. A load report older than 5 s counts as none, so that an engine without calls is not refused for ever.

Ruled out: a stream instead of calls for the batches of the replicated logs.

--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -21,10 +21,16 @@
 import type {PeersService} from './peers-service.ts';
 import type {HeartbeatAnswer} from './registrar-service.ts';
 import {configGroup} from './replication-service.ts';
+import type {UpstreamNotice} from './upstreams-service.ts';
 
 const longestTickMs = 500;
 const heartbeatsInFlight = 3;
 
+type NoticeExchange = {
+	collect: () => UpstreamNotice[];
+	take: (notices: readonly UpstreamNotice[]) => void;
+};
+
 /** Copy of the configuration and of the members on this daemon, kept current by heartbeats. */
 export class ConfigurationService extends Service {
 	readonly view = new ConfigurationView();
@@ -33,6 +39,13 @@
 	readonly #context: DaemonContext;
 	readonly #membership: MembershipView = createMembershipView();
 	readonly #changeListeners = new Set<() => void>();
+	#notices: NoticeExchange = {
+		collect: () => [],
+		take() {
+			// No service takes notices yet.
+		},
+	};
+
 	#groups!: GroupClientService;
 	#peers!: PeersService;
 	#lease: LeaseState = createLeaseState();
@@ -99,6 +112,11 @@
 			.map((member) => member.daemonId);
 	}
 
+	/** Sends collected notices with each heartbeat and passes on those of all dispatchers. */
+	exchangeNotices(exchange: NoticeExchange): void {
+		this.#notices = exchange;
+	}
+
 	/** Calls the listener after each change of the configuration or of the members. */
 	onChange(listener: () => void): void {
 		this.#changeListeners.add(listener);
@@ -178,6 +196,7 @@
 						) as Record<string, number>,
 					},
 					...(epoch !== '' && {known: {epoch, version}}),
+					notices: this.#notices.collect(),
 				},
 				{
 					timeoutMs: configurationLeaseMs,
@@ -216,6 +235,7 @@
 				digest: answer.digest,
 			});
 			this.#takeMembers(answer);
+			this.#notices.take(answer.notices ?? []);
 		} catch (error) {
 			this.#context.fail(error);
 		}
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -431,6 +431,12 @@
 				}),
 				...(!isAnswer &&
 					result.outcome.verdict === 'not-run' && {usedTokens: 0}),
+				...(grant.kind === 'model' && {
+					load: {
+						upstreamId: grant.upstreamId,
+						...this.#upstreams.load(grant.upstreamId),
+					},
+				}),
 			},
 			{
 				timeoutMs: Math.max(
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -6,7 +6,7 @@
 	type ProgramResult,
 } from '@marjoramcove/programs';
 import {decideRetention} from '@marjoramcove/scheduler';
-import type {ProgramId} from '@marjoramcove/types';
+import type {ProgramId, UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {
 	type AcceptInput,
@@ -41,6 +41,16 @@
 	answer: z.object({role: z.string(), content: z.string()}).optional(),
 	usedTokens: z.int().optional(),
 	cachedTokens: z.int().optional(),
+	/** Last load report of the upstream that its dispatcher read. */
+	load: z
+		.object({
+			upstreamId: z.string().transform((value) => value as UpstreamId),
+			running: z.number(),
+			waiting: z.number(),
+			kvTokens: z.number(),
+			kvCapacityTokens: z.number(),
+		})
+		.optional(),
 });
 
 const programSchema = z.object({programId: programIdSchema});
@@ -148,8 +158,13 @@
 				return state;
 			},
 		);
-		peers.handle('programs.settle', settleSchema, async (input) => {
+		peers.handle('programs.settle', settleSchema, async ({load, ...input}) => {
 			await this.#core.lead(input.programId);
+			if (load) {
+				const {upstreamId, ...report} = load;
+				this.#core.upstreams.noteLoad(upstreamId, report);
+			}
+
 			return this.#core.commit(input.programId, {
 				type: 'settle-call',
 				nowMs: this.#core.commandTimeMs(input.programId),
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -25,14 +25,21 @@
 	type MembershipState,
 	stepMembership,
 } from '@marjoramcove/membership';
-import type {DaemonId} from '@marjoramcove/types';
+import type {DaemonId, UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {type DaemonContext, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
+import type {UpstreamNotice} from './upstreams-service.ts';
 
 const propagationPollMs = 25;
 
+const noticeSchema = z.object({
+	upstreamId: z.string().transform((value) => value as UpstreamId),
+	leaving: z.boolean(),
+	unhealthy: z.boolean(),
+});
+
 /** Heartbeat of a daemon to the configuration leader. */
 export const heartbeatSchema = z.object({
 	sequence: z.int(),
@@ -40,6 +47,7 @@
 		(value) => typeof value === 'object' && value !== null,
 	),
 	known: z.object({epoch: z.string(), version: z.number()}).optional(),
+	notices: z.array(noticeSchema).default([]),
 });
 
 /** Answer of the configuration leader to a heartbeat. */
@@ -48,6 +56,8 @@
 	digest: ReturnType<typeof configurationDigest>;
 	update?: ReturnType<typeof changesSince>;
 	members: ReturnType<typeof membersSince>;
+	/** Upstreams in trouble, from all dispatchers; absent when there are none. */
+	notices?: UpstreamNotice[];
 };
 
 /** Outcome of a change for the operator. */
@@ -63,6 +73,12 @@
 export class RegistrarService extends Service {
 	readonly #context: DaemonContext;
 	readonly #confirmations = new Map<DaemonId, DaemonConfirmation>();
+	/** Upstreams in trouble by their dispatcher. */
+	readonly #notices = new Map<
+		DaemonId,
+		{notices: UpstreamNotice[]; atMs: number}
+	>();
+
 	#replication!: ReplicationService;
 	#peers!: PeersService;
 	#membership!: MembershipState;
@@ -142,6 +158,7 @@
 		sequence,
 		report,
 		known,
+		notices,
 	}: z.output<typeof heartbeatSchema>): Promise<HeartbeatAnswer> {
 		await this.#replication.ensureLeader(configGroup);
 		this.#noteTerm();
@@ -157,6 +174,7 @@
 			{type: 'heartbeat', sequence, report},
 			nowMs,
 		).state;
+		this.#noteUpstreams(report.daemonId, notices);
 		const {state} = this.#replication.configuration;
 		const digest = configurationDigest(state);
 		this.#confirmations.set(report.daemonId, {
@@ -171,6 +189,30 @@
 				update: changesSince(state, report.appliedRevision),
 			}),
 			members: membersSince(this.#membership, known),
+			...this.#currentNotices(),
+		};
+	}
+
+	#noteUpstreams(daemonId: DaemonId, notices: UpstreamNotice[]): void {
+		if (notices.length === 0) {
+			this.#notices.delete(daemonId);
+		} else {
+			this.#notices.set(daemonId, {notices, atMs: performance.now()});
+		}
+	}
+
+	/** Notices of dispatchers that still send heartbeats. */
+	#currentNotices(): {notices?: UpstreamNotice[]} {
+		if (this.#notices.size === 0) {
+			return {};
+		}
+
+		const oldestMs =
+			performance.now() - this.#membership.settings.memberTimeoutMs;
+		return {
+			notices: [...this.#notices.values()]
+				.filter(({atMs}) => atMs >= oldestMs)
+				.flatMap(({notices}) => notices),
 		};
 	}
 
--- a/packages/daemon/src/services/upstreams-service.ts
+++ b/packages/daemon/src/services/upstreams-service.ts
@@ -18,6 +18,8 @@
 /** Last reports of an upstream. */
 type UpstreamHealth = {
 	failures: number;
+	/** Time of the last load report. */
+	loadAtMs: number;
 	running: number;
 	waiting: number;
 	kvTokens: number;
@@ -25,8 +27,16 @@
 };
 
 const failuresUntilUnhealthy = 2;
+const loadLifetimeMs = 5000;
 
-type LoadReport = Partial<
+/** Trouble of an upstream, as its dispatcher reports it in heartbeats. */
+export type UpstreamNotice = {
+	upstreamId: UpstreamId;
+	leaving: boolean;
+	unhealthy: boolean;
+};
+
+export type LoadReport = Partial<
 	Record<'running' | 'waiting' | 'kvTokens' | 'kvCapacityTokens', number>
 >;
 
@@ -36,6 +46,10 @@
 	readonly #agent = new Agent({connections: 2, keepAliveTimeout: 30_000});
 	readonly #health = new Map<UpstreamId, UpstreamHealth>();
 	readonly #busy = new Set<UpstreamId>();
+	/** Upstreams of this dispatcher whose own answer says that they are leaving. */
+	readonly #leavingByHealth = new Set<UpstreamId>();
+	/** What the dispatchers of other upstreams reported, by upstream. */
+	#reported = new Map<UpstreamId, UpstreamNotice>();
 	#configuration!: ConfigurationService;
 	#timers: NodeJS.Timeout[] = [];
 	#state = createMembershipState({
@@ -57,6 +71,12 @@
 		this.#configuration.onChange(() => {
 			this.#registerUpstreams();
 		});
+		this.#configuration.exchangeNotices({
+			collect: () => this.#collectNotices(),
+			take: (notices) => {
+				this.#takeNotices(notices);
+			},
+		});
 		const {timing, vmList} = this.#context.settings;
 		this.#timers = [
 			setInterval(() => {
@@ -92,9 +112,9 @@
 	}
 
 	isHealthy(upstreamId: UpstreamId): boolean {
-		return (
-			(this.#health.get(upstreamId)?.failures ?? 0) < failuresUntilUnhealthy
-		);
+		return this.#isOwn(upstreamId)
+			? (this.#health.get(upstreamId)?.failures ?? 0) < failuresUntilUnhealthy
+			: !this.#reported.get(upstreamId)?.unhealthy;
 	}
 
 	/** Marks an upstream as failing after a call found it unreachable. */
@@ -102,8 +122,21 @@
 		this.#healthOf(upstreamId).failures = failuresUntilUnhealthy;
 	}
 
-	load(upstreamId: UpstreamId): UpstreamHealth {
-		return this.#healthOf(upstreamId);
+	/** Last load report; an old one counts as an idle engine, because it would otherwise never improve. */
+	load(upstreamId: UpstreamId): Required<LoadReport> {
+		const {running, waiting, kvTokens, kvCapacityTokens, loadAtMs} =
+			this.#healthOf(upstreamId);
+		const isOld = performance.now() - loadAtMs > loadLifetimeMs;
+		return isOld
+			? {running: 0, waiting: 0, kvTokens: 0, kvCapacityTokens}
+			: {running, waiting, kvTokens, kvCapacityTokens};
+	}
+
+	/** Takes a load report that came with the outcome of a call. */
+	noteLoad(upstreamId: UpstreamId, load: LoadReport): void {
+		Object.assign(this.#healthOf(upstreamId), load, {
+			loadAtMs: performance.now(),
+		});
 	}
 
 	/** Daemon that dispatches for an upstream, by rendezvous hashing over the live daemons. */
@@ -116,6 +149,7 @@
 		if (!health) {
 			health = {
 				failures: 0,
+				loadAtMs: Number.NEGATIVE_INFINITY,
 				running: 0,
 				waiting: 0,
 				kvTokens: 0,
@@ -145,18 +179,73 @@
 		}
 	}
 
-	/** Owners check all upstreams, other daemons those that they dispatch for. */
+	/**
+	 * Only the dispatcher of an upstream checks it; the others learn of trouble from heartbeats. At target
+	 * size, checks of 1,700 servers by each owner would take more than the processor share of control.
+	 */
 	#checkAll(): void {
-		const {roles, daemonId} = this.#context.settings;
-		const isOwner = roles.includes('state');
 		for (const upstream of this.#configuration.view.upstreams) {
-			const {name} = upstream;
+			if (!this.#busy.has(upstream.name) && this.#isOwn(upstream.name)) {
+				void this.#check(upstream);
+			}
+		}
+	}
+
+	/** Whether this daemon dispatches for the upstream. */
+	#isOwn(upstreamId: UpstreamId): boolean {
+		return this.dispatcherOf(upstreamId) === this.#context.settings.daemonId;
+	}
+
+	/** Upstreams of this dispatcher that are leaving or unhealthy. */
+	#collectNotices(): UpstreamNotice[] {
+		return this.#configuration.view.upstreams
+			.filter(({name}) => this.#isOwn(name))
+			.map(({name}) => ({
+				upstreamId: name,
+				leaving: this.#leavingByHealth.has(name),
+				unhealthy: !this.isHealthy(name),
+			}))
+			.filter(({leaving, unhealthy}) => leaving || unhealthy);
+	}
+
+	#takeNotices(notices: readonly UpstreamNotice[]): void {
+		const previous = this.#reported;
+		this.#reported = new Map(
+			notices.map((notice) => [notice.upstreamId, notice]),
+		);
+		for (const upstreamId of new Set([
+			...previous.keys(),
+			...this.#reported.keys(),
+		])) {
+			const isLeaving = this.#reported.get(upstreamId)?.leaving ?? false;
 			if (
-				!this.#busy.has(name) &&
-				(isOwner || this.dispatcherOf(name) === daemonId)
+				!this.#isOwn(upstreamId) &&
+				isLeaving !== (previous.get(upstreamId)?.leaving ?? false)
 			) {
-				void this.#check(upstream);
+				this.#step({
+					type: 'health',
+					upstreamId,
+					status: isLeaving ? 'leaving' : 'ready',
+				});
+			}
+		}
+	}
+
+	/** Notes the own health check of an upstream and reports a change at once. */
+	#noteHealth(upstreamId: UpstreamId, isLeaving: boolean): void {
+		this.#step({
+			type: 'health',
+			upstreamId,
+			status: isLeaving ? 'leaving' : 'ready',
+		});
+		if (isLeaving !== this.#leavingByHealth.has(upstreamId)) {
+			if (isLeaving) {
+				this.#leavingByHealth.add(upstreamId);
+			} else {
+				this.#leavingByHealth.delete(upstreamId);
 			}
+
+			this.#configuration.heartbeat();
 		}
 	}
 
@@ -168,14 +257,10 @@
 				`${spec.address}/healthz`,
 			);
 			health.failures = 0;
-			this.#step({
-				type: 'health',
-				upstreamId: name,
-				status: status === 'leaving' ? 'leaving' : 'ready',
-			});
+			this.#noteHealth(name, status === 'leaving');
 			if (spec.type === 'engine') {
 				const load = await this.#read<LoadReport>(`${spec.address}/v1/load`);
-				Object.assign(health, {
+				this.noteLoad(name, {
 					running: load.running ?? 0,
 					waiting: load.waiting ?? 0,
 					kvTokens: load.kvTokens ?? 0,
