--- a/packages/daemon/src/dispatcher/run-tool-call.ts
+++ b/packages/daemon/src/dispatcher/run-tool-call.ts
@@ -48,72 +48,77 @@
 		: failed('may-have-run', 'service-error', message);
 };
 
-/**
- * Sends a tool call to a service, once. Non-idempotent calls get a connection of their own, because a
- * pooled connection that the service closes at the same moment would make the outcome unknown.
- */
-export const runToolCall = async ({
-	dispatcher,
-	address,
-	run,
-	answerSizeBytes,
-}: {
+type ToolCall = {
 	dispatcher: Dispatcher;
 	address: string;
 	run: CallRun;
 	answerSizeBytes: number;
-}): Promise<ModelEnd> => {
+};
+
+const operationOf = ({grant}: CallRun): string =>
+	'operation' in grant.target ? grant.target.operation : '';
+
+const sendOperation = async (
+	{dispatcher, address, run}: ToolCall,
+	leftMs: number,
+	timeout: AbortSignal,
+): Promise<Dispatcher.ResponseData> => {
 	const {grant, payload} = run;
-	const operation = 'operation' in grant.target ? grant.target.operation : '';
+	return request(`${address}/${encodeURIComponent(operationOf(run))}`, {
+		method: 'POST',
+		dispatcher,
+		reset: !grant.idempotent,
+		headers: {
+			'content-type': 'application/json',
+			'idempotency-key': `${grant.programId}:${grant.requestId}`,
+		},
+		body: JSON.stringify(payload.parameters ?? {}),
+		headersTimeout: leftMs + 1000,
+		bodyTimeout: leftMs + 1000,
+		signal: AbortSignal.any([run.abort.signal, timeout]),
+	});
+};
+
+/** End of a call without an answer; `not-run` only when nothing can have been sent. */
+const takeFailure = (
+	run: CallRun,
+	error: unknown,
+	isTimeout: boolean,
+): ModelEnd => {
+	const verdict = isUnsent(error) ? 'not-run' : 'may-have-run';
+	if (isTimeout) {
+		return failed(
+			verdict,
+			run.grant.timeoutReason,
+			`The operation ${operationOf(run)} did not answer within its time.`,
+		);
+	}
+
+	const reason = isUnsent(error) ? 'service-unreachable' : 'answer-lost';
+	return run.grant.idempotent || run.abort.signal.aborted
+		? {type: 'lost', reason}
+		: failed(
+				verdict,
+				reason,
+				`The service was not reached or its answer was lost (${codeOf(error)}).`,
+			);
+};
+
+/**
+ * Sends a tool call to a service, once. Non-idempotent calls get a connection of their own, because a
+ * pooled connection that the service closes at the same moment would make the outcome unknown.
+ */
+export const runToolCall = async (call: ToolCall): Promise<ModelEnd> => {
+	const {run, answerSizeBytes} = call;
 	const leftMs = Math.max(1, Math.ceil(run.deadlineMs - performance.now()));
 	const timeout = AbortSignal.timeout(leftMs);
 	try {
-		const answer = await request(
-			`${address}/${encodeURIComponent(operation)}`,
-			{
-				method: 'POST',
-				dispatcher,
-				reset: !grant.idempotent,
-				headers: {
-					'content-type': 'application/json',
-					'idempotency-key': `${grant.programId}:${grant.requestId}`,
-				},
-				body: JSON.stringify(payload.parameters ?? {}),
-				headersTimeout: leftMs + 1000,
-				bodyTimeout: leftMs + 1000,
-				signal: AbortSignal.any([run.abort.signal, timeout]),
-			},
-		);
+		const answer = await sendOperation(call, leftMs, timeout);
 		const content = await answer.body.text();
 		return Buffer.byteLength(content) > answerSizeBytes
-			? failed(
-					'ran',
-					'answer-too-large',
-					'The answer of the service is too large.',
-				)
+			? failed('ran', 'answer-too-large', 'The answer is too large.')
 			: takeStatus(run, answer, content);
 	} catch (error) {
-		if (timeout.aborted) {
-			return failed(
-				isUnsent(error) ? 'not-run' : 'may-have-run',
-				grant.timeoutReason,
-				`The operation ${operation} did not answer within its time.`,
-			);
-		}
-
-		if (grant.idempotent || run.abort.signal.aborted) {
-			return {
-				type: 'lost',
-				reason: isUnsent(error) ? 'service-unreachable' : 'answer-lost',
-			};
-		}
-
-		return isUnsent(error)
-			? failed('not-run', 'service-unreachable', 'The service is unreachable.')
-			: failed(
-					'may-have-run',
-					'answer-lost',
-					`The connection to the service was lost (${codeOf(error)}).`,
-				);
+		return takeFailure(run, error, timeout.aborted);
 	}
 };
--- /dev/null
+++ b/packages/daemon/src/dispatcher/upstream-caller.ts
@@ -0,0 +1,96 @@
+import type {UpstreamResource} from '@marjoramcove/configuration';
+import type {UpstreamId} from '@marjoramcove/types';
+import {Agent} from 'undici';
+import {type DaemonContext, messageOf} from '../daemon-context.ts';
+import type {CallRun} from './call-run.ts';
+import {cancelStream, type ModelEnd, runModelCall} from './run-model-call.ts';
+import {runToolCall} from './run-tool-call.ts';
+
+const connectTimeoutMs = 2000;
+
+/** Connections to the upstreams, and the calls over them. */
+export class UpstreamCaller {
+	readonly #context: DaemonContext;
+	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
+	/** Closes each connection after one call; see {@link runToolCall}. */
+	readonly #singleUseAgent = new Agent({
+		pipelining: 1,
+		connect: {timeout: connectTimeoutMs},
+	});
+
+	constructor(context: DaemonContext) {
+		this.#context = context;
+	}
+
+	async stop(): Promise<void> {
+		await Promise.all([
+			this.#singleUseAgent.destroy(),
+			...[...this.#agents.values()].map(async ({agent}) => agent.destroy()),
+		]);
+	}
+
+	/** Sends one attempt, once. */
+	async call(run: CallRun, upstream: UpstreamResource): Promise<ModelEnd> {
+		const {address} = upstream.spec;
+		const dispatcher = this.agentOf(upstream);
+		if (upstream.spec.type === 'service') {
+			return runToolCall({
+				dispatcher: run.grant.idempotent ? dispatcher : this.#singleUseAgent,
+				address,
+				run,
+				answerSizeBytes: this.#context.settings.limits.answerSizeBytes,
+			});
+		}
+
+		const timer = setTimeout(
+			() => {
+				run.abort.abort();
+			},
+			Math.max(1, run.deadlineMs - performance.now()),
+		);
+		try {
+			return await runModelCall({
+				context: this.#context,
+				dispatcher,
+				address,
+				run,
+			});
+		} finally {
+			clearTimeout(timer);
+			if (run.abort.signal.aborted) {
+				void this.#stopStream(run, upstream);
+			}
+		}
+	}
+
+	/** Pool of connections to an upstream; replaced when its address changes. */
+	agentOf({name, spec}: UpstreamResource): Agent {
+		let entry = this.#agents.get(name);
+		if (entry?.address !== spec.address) {
+			void entry?.agent.close();
+			entry = {
+				address: spec.address,
+				agent: new Agent({pipelining: 1, connect: {timeout: connectTimeoutMs}}),
+			};
+			this.#agents.set(name, entry);
+		}
+
+		return entry.agent;
+	}
+
+	async #stopStream(run: CallRun, upstream: UpstreamResource): Promise<void> {
+		try {
+			await cancelStream({
+				dispatcher: this.agentOf(upstream),
+				address: upstream.spec.address,
+				run,
+			});
+		} catch (error) {
+			this.#context.logger.debug({
+				event: 'stream-not-cancelled',
+				upstream: upstream.name,
+				error: messageOf(error),
+			});
+		}
+	}
+}
--- a/packages/daemon/src/entry/call-follower.test.ts
+++ b/packages/daemon/src/entry/call-follower.test.ts
@@ -26,7 +26,13 @@
 const granted = (attempt: number): CallState =>
 	({
 		status: 'granted',
-		grant: {attempt, timeoutMs: 1000, dispatcherId: 'd1', turn: 1},
+		grant: {
+			attempt,
+			kind: 'model',
+			timeoutMs: 1000,
+			dispatcherId: 'd1',
+			turn: 1,
+		},
 		payload: {messages: [], parameters: {}, prefix: ''},
 	}) as unknown as CallState;
 
--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -5,14 +5,14 @@
 	AcceptInput,
 	CallPayload,
 	CallState,
-	DispatchEvent,
 	Grant,
 	Usage,
 } from '../call-contracts.ts';
-import {type DaemonContext, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
+import {type AttemptEnd, readAttempt} from './read-attempt.ts';
 
 /** Receives the answer while it arrives. */
 export type AnswerReader = {
@@ -39,8 +39,6 @@
 
 type Attempt = {grant: Grant; payload: CallPayload; receivedMs: number};
 
-type AttemptEnd = Extract<DispatchEvent, {type: 'final' | 'lost'}>;
-
 const followGraceMs = 30_000;
 
 /** Text that the caller has, over all attempts of one call. */
@@ -161,23 +159,17 @@
 					signal,
 				);
 				if (end.type === 'final') {
-					if (end.outcome.status === 'answered' && input.kind === 'model') {
-						delivery.finish(attempt, end.content);
-					}
-
-					return {...end, attempt, turn: state.grant.turn};
-				}
-
-				if (signal.aborted) {
-					throw outcomeUnknown(input);
+					return finishAttempt(state.grant, end, delivery);
 				}
 
 				this.#context.retries.increment({step: 'follow', reason: end.reason});
-				await sleep(20);
-			} else {
-				await sleep(state.retryAfterMs);
 			}
 
+			if (signal.aborted) {
+				throw outcomeUnknown(input);
+			}
+
+			await sleep(state.status === 'unsure' ? state.retryAfterMs : 20);
 			state = await this.#callOwner(input, 'programs.reportLost', {
 				accept: input,
 				attempt,
@@ -207,54 +199,29 @@
 	): Promise<AttemptEnd> {
 		const fromOffset = delivery.begin(grant.attempt);
 		const timeoutMs = grant.timeoutMs - (performance.now() - receivedMs);
-		return new Promise((resolve) => {
-			let stop: (() => void) | undefined;
-			const finish = (end: AttemptEnd) => {
-				signal.removeEventListener('abort', abandon);
-				stop?.();
-				resolve(end);
-			};
-
-			const lose = (error: unknown) => {
-				finish({type: 'lost', reason: reasonOf(error)});
-			};
-
-			const abandon = () => {
-				finish({type: 'lost', reason: 'caller-gone'});
-			};
-
-			signal.addEventListener('abort', abandon);
-			const subscribe = async () => {
-				try {
-					stop = await this.#peers.subscribe(
-						grant.dispatcherId,
-						'dispatch.run',
-						{grant: {...grant, timeoutMs}, payload, fromOffset},
-						{
-							onData(data) {
-								const event = data as DispatchEvent;
-								if (event.type === 'chunk') {
-									delivery.take(event.offset, event.text);
-								} else {
-									finish(event);
-								}
-							},
-							onError: lose,
-							onComplete() {
-								finish({type: 'lost', reason: 'dispatch-ended'});
-							},
-						},
-					);
-				} catch (error) {
-					lose(error);
-				}
-			};
-
-			void subscribe();
-		});
+		return readAttempt(
+			this.#peers,
+			{grant: {...grant, timeoutMs}, payload, fromOffset},
+			({offset, text}) => {
+				delivery.take(offset, text);
+			},
+			signal,
+		);
 	}
 }
 
+const finishAttempt = (
+	{attempt, turn, kind}: Grant,
+	end: Extract<AttemptEnd, {type: 'final'}>,
+	delivery: Delivery,
+): FollowedCall => {
+	if (end.outcome.status === 'answered' && kind === 'model') {
+		delivery.finish(attempt, end.content);
+	}
+
+	return {...end, attempt, turn};
+};
+
 const finishSettled = (
 	{record, content}: Extract<CallState, {status: 'settled'}>,
 	delivery: Delivery,
--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -8,7 +8,6 @@
 	type ProgramResult,
 	type RequestRecord,
 } from '@marjoramcove/programs';
-import {admitCall} from '@marjoramcove/scheduler';
 import type {IncarnationId, ProgramId, UpstreamId} from '@marjoramcove/types';
 import type {AcceptInput, CallState, Grant} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
@@ -17,6 +16,7 @@
 	refusedByMachine,
 	unknownProgram,
 } from './owner-core.ts';
+import {admitModelCall} from './admit-model-call.ts';
 import {planMessages} from './plan-messages.ts';
 import type {ProgramGates} from './program-gates.ts';
 import {type Outstanding, type Route, routeCall} from './route-call.ts';
@@ -226,7 +226,10 @@
 			promptTokens,
 			completionTokens,
 		});
-		this.#admit(input, program, route);
+		if (input.kind === 'model') {
+			admitModelCall(this.#core, this.#outstanding, program, route);
+		}
+
 		return this.#core.propose(programId, {
 			...this.#command(input, messages),
 			...this.#operation(input, route),
@@ -265,49 +268,6 @@
 		);
 	}
 
-	#admit(input: AcceptInput, program: ProgramDescription, route: Route): void {
-		if (input.kind === 'tool') {
-			return;
-		}
-
-		const {upstreams, context} = this.#core;
-		const load = upstreams.load(route.upstream.name);
-		const own = this.#outstanding.get(route.upstream.name);
-		const calls = Math.max(own?.calls ?? 0, load.running + load.waiting);
-		const {slots} = route.upstream.spec;
-		const queued = Math.max(0, calls - slots);
-		// The chosen engine is the least loaded of a sample, so it stands for the fleet.
-		const decision = admitCall(
-			{
-				engines: 1,
-				slots,
-				inFlight: Math.min(calls, slots),
-				queued,
-				outstandingWorkMs: (own?.tokens ?? 0) * 0.1,
-				cacheUsedTokens: load.kvTokens,
-				cacheCapacityTokens: load.kvCapacityTokens || 1_000_000,
-				callerPrograms: 0,
-				programs: 0,
-				activeCallers: 1,
-			},
-			{
-				programId: program.programId,
-				callerId: program.callerId as Grant['callerId'],
-				isNewProgram: program.nextTurn === 1,
-			},
-			Date.now(),
-			context.settings.policy,
-		);
-		if (!decision.admitted) {
-			throw refusal(
-				decision.reason,
-				'The engines are overloaded.',
-				`Retry after ${decision.retryAfterMs} ms.`,
-				{retryAfterMs: decision.retryAfterMs},
-			);
-		}
-	}
-
 	#operation(input: AcceptInput, {upstream}: Route) {
 		const {target} = input;
 		if ('model' in target || upstream.spec.type === 'engine') {
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -139,6 +139,56 @@
 	}
 }
 
+/** Passes signals and unexpected errors of the process to the daemon. */
+const handleProcessEvents = (
+	context: DaemonContext,
+	drain: () => Promise<void>,
+): void => {
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void drain();
+		});
+	}
+
+	process.on('unhandledRejection', (error) => {
+		context.logger.error({
+			event: 'unhandled-rejection',
+			error: messageOf(error),
+			stack: error instanceof Error ? error.stack : undefined,
+		});
+	});
+	process.on('uncaughtException', (error) => {
+		context.fail(error);
+	});
+};
+
+/** Starts a daemon; `finish` gets the exit code once it has been drained. */
+const startDaemon = async (
+	context: DaemonContext,
+	finish: (code: number) => Promise<void>,
+): Promise<void> => {
+	let draining: Promise<void> | undefined;
+	const drain = async () => {
+		// A second signal neither shortens nor repeats the drain.
+		draining ??= (async () => {
+			await daemon.drain();
+			await daemon.stop();
+			await finish(0);
+		})();
+		return draining;
+	};
+
+	const daemon = new Daemon(context, () => {
+		void drain();
+	});
+	handleProcessEvents(context, drain);
+	try {
+		await daemon.start();
+	} catch (error) {
+		context.fail(error);
+	}
+};
+
 /**
  * Runs a daemon until it has been drained by SIGTERM or an operator, then resolves with the exit code.
  *
@@ -167,44 +217,6 @@
 			// The state is doubtful: nothing more may be written, so the process does not drain.
 			void finish(1);
 		});
-		let draining: Promise<void> | undefined;
-		const drain = async () => {
-			// A second signal neither shortens nor repeats the drain.
-			draining ??= (async () => {
-				await daemon.drain();
-				await daemon.stop();
-				await finish(0);
-			})();
-			return draining;
-		};
-
-		const daemon = new Daemon(context, () => {
-			void drain();
-		});
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				void drain();
-			});
-		}
-
-		process.on('unhandledRejection', (error) => {
-			logger.error({
-				event: 'unhandled-rejection',
-				error: messageOf(error),
-				stack: error instanceof Error ? error.stack : undefined,
-			});
-		});
-		process.on('uncaughtException', (error) => {
-			context.fail(error);
-		});
-		const start = async () => {
-			try {
-				await daemon.start();
-			} catch (error) {
-				context.fail(error);
-			}
-		};
-
-		void start();
+		void startDaemon(context, finish);
 	});
 };
--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -19,7 +19,7 @@
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import type {PeersService} from './peers-service.ts';
-import type {HeartbeatAnswer} from './registrar-service.ts';
+import type {HeartbeatAnswer} from './heartbeat-contract.ts';
 import {configGroup} from './replication-service.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -1,9 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
-import {type ProgramResult, programOfShard} from '@marjoramcove/programs';
+import type {QueuedCall} from '@marjoramcove/scheduler';
 import type {UpstreamId} from '@marjoramcove/types';
-import {Agent} from 'undici';
 import {z} from 'zod';
 import {
 	attemptKey,
@@ -19,21 +18,16 @@
 	reasonOf,
 	refusal,
 } from '../daemon-context.ts';
-import {type AttemptResult, CallRun} from '../dispatcher/call-run.ts';
+import {AttemptSettler} from '../dispatcher/attempt-settler.ts';
+import {CallRun} from '../dispatcher/call-run.ts';
 import {ClosedAttempts} from '../dispatcher/closed-attempts.ts';
 import {EngineQueue} from '../dispatcher/engine-queue.ts';
 import {reconcileEngineMemory} from '../dispatcher/memory-reconciler.ts';
-import {
-	cancelStream,
-	messageMarker,
-	type ModelEnd,
-	runModelCall,
-} from '../dispatcher/run-model-call.ts';
-import {runToolCall} from '../dispatcher/run-tool-call.ts';
+import type {ModelEnd} from '../dispatcher/run-model-call.ts';
+import {UpstreamCaller} from '../dispatcher/upstream-caller.ts';
 import type {ConfigurationService} from './configuration-service.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import type {PeersService} from './peers-service.ts';
-import {shardGroup} from './replication-service.ts';
 import type {UpstreamsService} from './upstreams-service.ts';
 
 const dispatchSchema = z.object({
@@ -45,8 +39,6 @@
 /** Time for which a finished run is kept for readers that attach late. */
 const keepFinishedMs = 60_000;
 const sweepIntervalMs = 5000;
-const connectTimeoutMs = 2000;
-const settleGraceMs = 20_000;
 
 /** Queues calls per upstream, sends each granted attempt once, streams and settles it. */
 export class DispatcherService extends Service {
@@ -54,22 +46,19 @@
 	readonly #runs = new Map<string, CallRun>();
 	readonly #closed = new ClosedAttempts(sweepIntervalMs);
 
+	readonly #caller: UpstreamCaller;
 	readonly #queues = new Map<UpstreamId, EngineQueue>();
-	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
-	/** Closes each connection after one call; see {@link runToolCall}. */
-	readonly #singleUseAgent = new Agent({
-		pipelining: 1,
-		connect: {timeout: connectTimeoutMs},
-	});
 
 	#configuration!: ConfigurationService;
 	#upstreams!: UpstreamsService;
 	#groups!: GroupClientService;
+	#settler!: AttemptSettler;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(context: DaemonContext) {
 		super();
 		this.#context = context;
+		this.#caller = new UpstreamCaller(context);
 	}
 
 	override get name() {
@@ -80,6 +69,11 @@
 		this.#configuration = kernel.get<ConfigurationService>('configuration');
 		this.#upstreams = kernel.get<UpstreamsService>('upstreams');
 		this.#groups = kernel.get<GroupClientService>('group-client');
+		this.#settler = new AttemptSettler({
+			context: this.#context,
+			groups: this.#groups,
+			upstreams: this.#upstreams,
+		});
 		this.#serve(kernel.get<PeersService>('peers'));
 		this.#timers = [
 			setInterval(() => {
@@ -97,10 +91,7 @@
 			clearInterval(timer);
 		}
 
-		await Promise.all([
-			this.#singleUseAgent.destroy(),
-			...[...this.#agents.values()].map(async ({agent}) => agent.destroy()),
-		]);
+		await this.#caller.stop();
 	}
 
 	/** Waits until all accepted attempts have settled. */
@@ -225,34 +216,22 @@
 		const limit = this.#context.settings.limits.queuedCallsPerEngine;
 		try {
 			if (!upstream || this.#upstreams.isLeaving(grant.upstreamId)) {
-				await this.#giveBack(run, 'upstream-leaving');
+				await this.#settler.giveBack(run, 'upstream-leaving');
 				return;
 			}
 
 			const queue = this.#queueOf(upstream);
 			if (queue.waiting >= limit) {
-				await this.#giveBack(run, 'engine-queue-full');
+				await this.#settler.giveBack(run, 'engine-queue-full');
 				return;
 			}
 
-			const end = await queue.run(
-				{
-					programId: grant.programId,
-					callerId: grant.callerId,
-					requestId: grant.requestId,
-					queuedAtMs: performance.now(),
-					attainedTokens: grant.attainedTokens,
-					promptTokens: grant.promptTokens,
-					cachedTokens: grant.cachedTokens,
-					expectedCompletionTokens: Math.min(256, grant.maxTokens),
-					turn: grant.turn,
-					priority: grant.priority,
-				},
-				async () => this.#send(run, upstream),
+			const end = await queue.run(toQueuedCall(grant), async () =>
+				this.#send(run, upstream),
 			);
 			// The slot is free from here on; the commit of the outcome does not occupy it.
 			if (end) {
-				await this.#finish(run, upstream, end);
+				await this.#settler.finish(run, upstream, end);
 			}
 		} catch (error) {
 			this.#context.logger.error({
@@ -265,26 +244,6 @@
 		}
 	}
 
-	/** Ends an attempt that was not sent: another upstream may take it, or it is settled as not run. */
-	async #giveBack(run: CallRun, reason: string): Promise<void> {
-		this.#context.refusals.increment({reason});
-		if (run.grant.idempotent && reason === 'upstream-leaving') {
-			run.finish('lost', {type: 'lost', reason});
-			return;
-		}
-
-		await this.#settle(run, {
-			outcome: {
-				status: 'failed',
-				verdict: 'not-run',
-				reason,
-				message: `The call was not sent: ${reason}.`,
-			},
-			content: '',
-			finishReason: 'error',
-		});
-	}
-
 	async #send(
 		run: CallRun,
 		upstream: UpstreamResource,
@@ -296,166 +255,24 @@
 		// The wait may have been long, or the process frozen: everything is checked again before sending.
 		const nowMs = performance.now();
 		if (nowMs >= run.deadlineMs) {
-			await this.#giveBack(run, run.grant.timeoutReason);
+			await this.#settler.giveBack(run, run.grant.timeoutReason);
 			return undefined;
 		}
 
 		if (this.#upstreams.isLeaving(upstream.name)) {
-			await this.#giveBack(run, 'upstream-leaving');
+			await this.#settler.giveBack(run, 'upstream-leaving');
 			return undefined;
 		}
 
 		this.#context.steps.record(nowMs - run.receivedMs, {step: 'queue'});
 		run.status = 'sent';
-		const end = await this.#call(run, upstream);
+		const end = await this.#caller.call(run, upstream);
 		this.#context.steps.record(performance.now() - nowMs, {
 			step: run.grant.kind,
 		});
 		return end;
 	}
 
-	async #call(run: CallRun, upstream: UpstreamResource): Promise<ModelEnd> {
-		const {address} = upstream.spec;
-		const dispatcher = this.#agentOf(upstream);
-		if (upstream.spec.type === 'service') {
-			return runToolCall({
-				dispatcher: run.grant.idempotent ? dispatcher : this.#singleUseAgent,
-				address,
-				run,
-				answerSizeBytes: this.#context.settings.limits.answerSizeBytes,
-			});
-		}
-
-		const timer = setTimeout(
-			() => {
-				run.abort.abort();
-			},
-			Math.max(1, run.deadlineMs - performance.now()),
-		);
-		try {
-			return await runModelCall({
-				context: this.#context,
-				dispatcher,
-				address,
-				run,
-			});
-		} finally {
-			clearTimeout(timer);
-			if (run.abort.signal.aborted) {
-				void this.#stopStream(run, upstream);
-			}
-		}
-	}
-
-	async #stopStream(run: CallRun, upstream: UpstreamResource): Promise<void> {
-		try {
-			await cancelStream({
-				dispatcher: this.#agentOf(upstream),
-				address: upstream.spec.address,
-				run,
-			});
-		} catch (error) {
-			this.#context.logger.debug({
-				event: 'stream-not-cancelled',
-				upstream: upstream.name,
-				error: messageOf(error),
-			});
-		}
-	}
-
-	async #finish(
-		run: CallRun,
-		upstream: UpstreamResource,
-		end: ModelEnd,
-	): Promise<void> {
-		if (end.type === 'done') {
-			await this.#settle(run, end.result);
-			return;
-		}
-
-		if (end.reason.endsWith('unreachable')) {
-			this.#upstreams.noteUnreachable(upstream.name);
-		}
-
-		if (performance.now() >= run.deadlineMs) {
-			await this.#settle(run, {
-				outcome: {
-					status: 'failed',
-					verdict: 'may-have-run',
-					reason: run.grant.timeoutReason,
-					message: 'The call did not end within its time.',
-				},
-				content: '',
-				finishReason: 'error',
-			});
-			return;
-		}
-
-		this.#context.logger.info({
-			event: 'attempt-lost',
-			programId: run.grant.programId,
-			requestId: run.grant.requestId,
-			upstream: upstream.name,
-			reason: end.reason,
-		});
-		run.finish('lost', {type: 'lost', reason: end.reason});
-	}
-
-	/** Records the outcome at the owner; only then do readers get the end of the answer. */
-	async #settle(run: CallRun, result: AttemptResult): Promise<void> {
-		const {grant} = run;
-		if (run.isFinished) {
-			return;
-		}
-
-		const isAnswer = result.outcome.status === 'answered';
-		const {usage} = result;
-		const startedMs = performance.now();
-		const answer = await this.#groups.call<ProgramResult>(
-			shardGroup(programOfShard(grant.programId)),
-			'programs.settle',
-			{
-				programId: grant.programId,
-				requestId: grant.requestId,
-				attempt: grant.attempt,
-				outcome: result.outcome,
-				...(isAnswer && {
-					answer: {
-						role: grant.kind === 'model' ? 'assistant' : 'tool',
-						content: encodeAnswer(result),
-					},
-				}),
-				...(usage && {
-					usedTokens: usage.prompt_tokens + usage.completion_tokens,
-					cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
-				}),
-				...(!isAnswer &&
-					result.outcome.verdict === 'not-run' && {usedTokens: 0}),
-				...(grant.kind === 'model' && {
-					load: {
-						upstreamId: grant.upstreamId,
-						...this.#upstreams.load(grant.upstreamId),
-					},
-				}),
-			},
-			{
-				timeoutMs: Math.max(
-					settleGraceMs,
-					run.deadlineMs - performance.now() + settleGraceMs,
-				),
-				attemptTimeoutMs: 3000,
-			},
-		);
-		this.#context.steps.record(performance.now() - startedMs, {
-			step: 'settle',
-		});
-		if (answer.outcome === 'settled') {
-			run.finish('settled', {type: 'final', ...result});
-		} else {
-			run.finish('lost', {type: 'lost', reason: 'attempt-superseded'});
-		}
-	}
-
 	#queueOf({name, spec}: UpstreamResource): EngineQueue {
 		let queue = this.#queues.get(name);
 		if (!queue) {
@@ -467,20 +284,6 @@
 		return queue;
 	}
 
-	#agentOf({name, spec}: UpstreamResource): Agent {
-		let entry = this.#agents.get(name);
-		if (entry?.address !== spec.address) {
-			void entry?.agent.close();
-			entry = {
-				address: spec.address,
-				agent: new Agent({pipelining: 1, connect: {timeout: connectTimeoutMs}}),
-			};
-			this.#agents.set(name, entry);
-		}
-
-		return entry.agent;
-	}
-
 	#forgetOld(): void {
 		const nowMs = performance.now();
 		for (const [key, run] of this.#runs) {
@@ -505,7 +308,7 @@
 			try {
 				await reconcileEngineMemory({
 					engine,
-					dispatcher: this.#agentOf(engine),
+					dispatcher: this.#caller.agentOf(engine),
 					groups: this.#groups,
 					shardCount: this.#context.settings.cluster.shardCount,
 				});
@@ -519,8 +322,18 @@
 	}
 }
 
-/** Text of an answer for the history; tool calls of a model need the whole message. */
-const encodeAnswer = ({content, toolCalls}: AttemptResult): string =>
-	toolCalls
-		? `${messageMarker}${JSON.stringify({content: content || null, tool_calls: toolCalls})}`
-		: content;
+/** Completion length that the order of the queue assumes at most; the real one is not known. */
+const assumedCompletionTokens = 256;
+
+const toQueuedCall = (grant: Grant): QueuedCall => ({
+	programId: grant.programId,
+	callerId: grant.callerId,
+	requestId: grant.requestId,
+	queuedAtMs: performance.now(),
+	attainedTokens: grant.attainedTokens,
+	promptTokens: grant.promptTokens,
+	cachedTokens: grant.cachedTokens,
+	expectedCompletionTokens: Math.min(assumedCompletionTokens, grant.maxTokens),
+	turn: grant.turn,
+	priority: grant.priority,
+});
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -6,7 +6,7 @@
 	type ProgramResult,
 } from '@marjoramcove/programs';
 import {decideRetention} from '@marjoramcove/scheduler';
-import type {ProgramId, UpstreamId} from '@marjoramcove/types';
+import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {
 	type AcceptInput,
@@ -17,6 +17,7 @@
 import type {DaemonContext} from '../daemon-context.ts';
 import {CallAccepter} from '../owner/call-accepter.ts';
 import {CallRecovery} from '../owner/call-recovery.ts';
+import {OpenCallLoads} from '../owner/open-call-loads.ts';
 import {OwnerCore} from '../owner/owner-core.ts';
 import {OwnerSweeps} from '../owner/owner-sweeps.ts';
 import {ProgramGates} from '../owner/program-gates.ts';
@@ -25,7 +26,6 @@
 	openSchema,
 	ProgramRegistry,
 } from '../owner/program-registry.ts';
-import type {Outstanding} from '../owner/route-call.ts';
 import type {ConfigurationService} from './configuration-service.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import type {PeersService} from './peers-service.ts';
@@ -58,10 +58,9 @@
 /** Owner of the programs of the shards that this daemon leads. */
 export class OwnerService extends Service {
 	readonly #context: DaemonContext;
-	readonly #outstanding: Outstanding = new Map();
+	readonly #loads = new OpenCallLoads();
 	/** Requests whose calls are open, for attempts after the first one. */
 	readonly #inputs = new Map<string, AcceptInput>();
-	readonly #openCalls = new Map<string, {upstreamId: string; tokens: number}>();
 	#core!: OwnerCore;
 	#gates!: ProgramGates;
 	#accepter!: CallAccepter;
@@ -93,29 +92,19 @@
 		this.#accepter = new CallAccepter(
 			this.#core,
 			this.#gates,
-			this.#outstanding,
+			this.#loads.outstanding,
 		);
 		this.#recovery = new CallRecovery(
 			this.#core,
 			this.#accepter,
-			this.#outstanding,
+			this.#loads.outstanding,
 		);
 		this.#registry = new ProgramRegistry(this.#core, this.#accepter);
 		this.#sweeps = new OwnerSweeps(this.#core, this.#recovery, this.#inputs);
-		this.#core.replication.onApplied((_shard, command, result) => {
-			this.#noteApplied(command, result);
-		});
-		this.#core.replication.onLeadershipChange((groupId, leadership) => {
-			this.#context.logger.info({
-				event: 'leader-changed',
-				groupId,
-				leader: leadership.leaderId ?? 'none',
-				term: leadership.term,
-			});
-			this.#gates.notifyAll();
-		});
+		this.#watchReplication();
 		this.#serveCalls(this.#core.peers);
 		this.#servePrograms(this.#core.peers);
+		this.#serveReads(this.#core.peers);
 		this.#serveBudgets(this.#core.peers);
 		if (settings.roles.includes('state')) {
 			this.#timer = setInterval(() => {
@@ -129,6 +118,21 @@
 		await this.#sweeps.stop();
 	}
 
+	#watchReplication(): void {
+		this.#core.replication.onApplied((_shard, command, result) => {
+			this.#noteApplied(command, result);
+		});
+		this.#core.replication.onLeadershipChange((groupId, leadership) => {
+			this.#context.logger.info({
+				event: 'leader-changed',
+				groupId,
+				leader: leadership.leaderId ?? 'none',
+				term: leadership.term,
+			});
+			this.#gates.notifyAll();
+		});
+	}
+
 	#serveCalls(peers: PeersService): void {
 		peers.handle('programs.accept', acceptSchema, async (input) => {
 			const startedMs = performance.now();
@@ -200,6 +204,9 @@
 		peers.handle('programs.describe', programSchema, async ({programId}) =>
 			this.#registry.describe(programId),
 		);
+	}
+
+	#serveReads(peers: PeersService): void {
 		peers.handle('programs.history', programSchema, async ({programId}) =>
 			this.#registry.history(programId),
 		);
@@ -308,68 +315,24 @@
 
 	/** Keeps the load that this owner granted, and wakes the calls that wait for a settled one. */
 	#noteApplied(command: ProgramCommand, result: ProgramResult): void {
-		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- most results open or close no call
-		switch (result.outcome) {
-			case 'accepted':
-			case 'retried': {
-				const {programId, requestId, upstreamId, reservedTokens} = result.call;
-				this.#forget(programId, requestId);
-				this.#openCalls.set(`${programId}:${requestId}`, {
-					upstreamId,
-					tokens: reservedTokens,
-				});
-				const entry = this.#outstanding.get(upstreamId) ?? {
-					calls: 0,
-					tokens: 0,
-				};
-				entry.calls++;
-				entry.tokens += reservedTokens;
-				this.#outstanding.set(upstreamId, entry);
-				break;
+		if (result.outcome === 'accepted' || result.outcome === 'retried') {
+			this.#loads.add(result.call);
+		} else if (result.outcome === 'settled' && command.type === 'settle-call') {
+			this.#close(command.programId, command.requestId);
+		} else if (result.outcome === 'ended' || result.outcome === 'expired') {
+			for (const {programId, requestId} of result.cancelled) {
+				this.#close(programId, requestId);
 			}
 
-			case 'settled': {
-				if (command.type === 'settle-call') {
-					this.#close(command.programId, command.requestId);
-				}
-
-				break;
-			}
-
-			case 'ended':
-			case 'expired': {
-				for (const {programId, requestId} of result.cancelled) {
-					this.#close(programId, requestId);
-				}
-
-				if (command.type === 'end-program') {
-					this.#gates.notify(command.programId);
-				}
-
-				break;
-			}
-
-			default: {
-				// Other results open or close no call.
-				break;
+			if (command.type === 'end-program') {
+				this.#gates.notify(command.programId);
 			}
 		}
 	}
 
-	#close(programId: ProgramId, requestId: string): void {
-		this.#forget(programId, requestId);
+	#close(programId: ProgramId, requestId: RequestId): void {
+		this.#loads.remove({programId, requestId});
 		this.#inputs.delete(`${programId}:${requestId}`);
 		this.#gates.notify(programId);
 	}
-
-	#forget(programId: ProgramId, requestId: string): void {
-		const key = `${programId}:${requestId}`;
-		const open = this.#openCalls.get(key);
-		const entry = open && this.#outstanding.get(open.upstreamId as never);
-		if (open && entry) {
-			entry.calls--;
-			entry.tokens -= open.tokens;
-			this.#openCalls.delete(key);
-		}
-	}
 }
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -20,46 +20,20 @@
 import {
 	createMembershipState,
 	liveDaemons,
-	type MemberReport,
 	membersSince,
 	type MembershipState,
 	stepMembership,
 } from '@marjoramcove/membership';
-import type {DaemonId, UpstreamId} from '@marjoramcove/types';
+import type {DaemonId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {type DaemonContext, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
+import {type HeartbeatAnswer, heartbeatSchema} from './heartbeat-contract.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
 const propagationPollMs = 25;
 
-const noticeSchema = z.object({
-	upstreamId: z.string().transform((value) => value as UpstreamId),
-	leaving: z.boolean(),
-	unhealthy: z.boolean(),
-});
-
-/** Heartbeat of a daemon to the configuration leader. */
-export const heartbeatSchema = z.object({
-	sequence: z.int(),
-	report: z.custom<MemberReport>(
-		(value) => typeof value === 'object' && value !== null,
-	),
-	known: z.object({epoch: z.string(), version: z.number()}).optional(),
-	notices: z.array(noticeSchema).default([]),
-});
-
-/** Answer of the configuration leader to a heartbeat. */
-export type HeartbeatAnswer = {
-	leaseMs: number;
-	digest: ReturnType<typeof configurationDigest>;
-	update?: ReturnType<typeof changesSince>;
-	members: ReturnType<typeof membersSince>;
-	/** Upstreams in trouble, from all dispatchers; absent when there are none. */
-	notices?: UpstreamNotice[];
-};
-
 /** Outcome of a change for the operator. */
 export type ChangeOutcome = {
 	revision: number;
