--- a/packages/measure/src/read-arguments.ts
+++ b/packages/measure/src/read-arguments.ts
@@ -1,7 +1,13 @@
 import yargs, {type Options} from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
-const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
+const SCENARIOS = [
+	'baramyeon',
+	'piatothiki',
+	'failures',
+	'target',
+	'control',
+] as const;
 
 export type ScenarioName = (typeof SCENARIOS)[number];
 
--- a/packages/soak/src/consensus/nemesis.ts
+++ b/packages/soak/src/consensus/nemesis.ts
@@ -15,6 +15,13 @@
 		this.#cluster = cluster;
 		this.#operator = operator;
 		this.#spare = cluster.daemons.at(-1)!;
+		operator.onRepaired = () => {
+			if (!this.#isHealed && cluster.random.chance(0.5)) {
+				cluster.events.note('disk-loss-after-repair');
+				this.#loseDisk();
+			}
+		};
+
 		this.#faults = [
 			this.#disturbNetwork,
 			this.#partition,
@@ -265,7 +272,7 @@
 			}
 		}
 
-		this.#crashAfterVote(hub, time.nowMs + 4000);
+		this.#crashAfterVote(hub, time.nowMs() + 4000);
 		time.schedule(6000, () => {
 			for (const pair of added) {
 				network.blocked.delete(pair);
@@ -284,7 +291,7 @@
 				daemon !== hub &&
 				daemon.host?.status().some((group) => group.role === 'candidate'),
 		);
-		if (this.#isHealed || time.nowMs > untilMs) {
+		if (this.#isHealed || time.nowMs() > untilMs) {
 			return;
 		}
 
