--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -109,6 +109,11 @@
 	}
 };
 
+const writeRows = (file: string, rows: Row[]): void => {
+	mkdirSync(path.dirname(path.resolve(file)), {recursive: true});
+	writeFileSync(file, `${JSON.stringify(rows, undefined, '\t')}\n`);
+};
+
 const main = async (): Promise<void> => {
 	const {seed, seeds, policies, loads, cacheTokens, ...rest} = readArguments();
 	const {out, plots, markdown} = rest;
@@ -124,16 +129,15 @@
 				live: rest.live,
 			})),
 		);
+		// A run over many seeds takes minutes; what is done survives its end.
+		if (out) {
+			writeRows(out, rows);
+		}
 	}
 
 	const means = averageRows(rows);
 	const format = markdown ? formatMarkdown : formatTable;
 	console.log(format(means, readColumns(name)));
-	if (out) {
-		mkdirSync(path.dirname(path.resolve(out)), {recursive: true});
-		writeFileSync(out, `${JSON.stringify(rows, undefined, '\t')}\n`);
-	}
-
 	if (plots && (name === 'baramyeon' || name === 'piatothiki')) {
 		writePlots(plots, name, means);
 	}
