Check the wall clock at each use of the lease

Cause: a suspended VM was noticed only at the next tick of the lease, so one request could pass under an expired lease after the VM resumed. Ruled out: a shorter tick, which costs processor time and only shrinks the gap. Conclusion: the wall clock is passed to each check.

--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -97,7 +97,7 @@
 
 	/** Whether this daemon may take new work under its copy of the configuration. */
 	get hasLease(): boolean {
-		return isLeaseValid(this.#lease, performance.now());
+		return isLeaseValid(this.#lease, performance.now(), Date.now());
 	}
 
 	/** Live daemons as the configuration leader last reported them. */
