--- /dev/null
+++ b/packages/consensus/src/replica.fixture.ts
@@ -0,0 +1,143 @@
+import {
+	asId,
+	type DaemonId,
+	type DiskId,
+	type GroupId,
+} from '@marjoramcove/types';
+import type {Membership, ReplicaDescriptor} from './membership.ts';
+import {createRaftState} from './raft-state.ts';
+import {
+	DEFAULT_RAFT_SETTINGS,
+	type LogEntry,
+	type RaftAction,
+	type RaftEvent,
+	type RaftMessage,
+	type RaftState,
+} from './raft-types.ts';
+import {stepRaft} from './step-raft.ts';
+
+export const replica = (name: string): ReplicaDescriptor => ({
+	daemonId: asId<DaemonId>(name),
+	diskId: asId<DiskId>(`disk-${name}`),
+});
+
+export const membershipOf = (...names: string[]): Membership => ({
+	voters: names.map((name) => replica(name)),
+	learners: [],
+});
+
+export const command = (text: string) => Buffer.from(text);
+
+export const entry = (index: number, term: number): LogEntry => ({
+	index,
+	term,
+	kind: 'command',
+	command: command(`${index}`),
+});
+
+/** One replica whose messages the test plays itself. */
+export class Replica {
+	nowMs = 0;
+	state: RaftState;
+
+	constructor(
+		name: string,
+		membership: Membership,
+		recovered: {term?: number; entries?: LogEntry[]} = {},
+	) {
+		this.state = createRaftState(
+			{
+				groupId: asId<GroupId>('shard-0'),
+				selfId: replica(name).diskId,
+				term: recovered.term ?? 0,
+				votedFor: undefined,
+				baseIndex: 0,
+				baseTerm: 0,
+				membership,
+				entries: recovered.entries ?? [],
+				snapshotIndex: 0,
+			},
+			DEFAULT_RAFT_SETTINGS,
+			0,
+			() => 0,
+		);
+	}
+
+	step(event: RaftEvent): RaftAction[] {
+		const {state, actions} = stepRaft(this.state, event, this.nowMs, () => 0);
+		this.state = state;
+		return actions;
+	}
+
+	receive(from: string, message: RaftMessage): RaftMessage[] {
+		return messagesOf(
+			this.step({type: 'message', from: replica(from), message}),
+		);
+	}
+
+	/** The disk has everything that was written so far. */
+	sync(): RaftAction[] {
+		const {log, term, votedFor} = this.state;
+		return this.step({
+			type: 'synced',
+			index: log.lastIndex,
+			entryTerm: log.lastTerm,
+			term,
+			votedFor,
+		});
+	}
+
+	passTime(durationMs: number): RaftAction[] {
+		this.nowMs += durationMs;
+		return this.step({type: 'tick'});
+	}
+
+	/** Wins an election with the vote of one other replica. */
+	lead(supporter: string): this {
+		this.passTime(2000);
+		this.receive(supporter, {
+			type: 'pre-vote-response',
+			term: this.state.term + 1,
+			isGranted: true,
+		});
+		this.sync();
+		this.receive(supporter, {
+			type: 'vote-response',
+			term: this.state.term,
+			isGranted: true,
+		});
+		this.sync();
+		return this;
+	}
+
+	acknowledge(from: string, index = this.state.log.lastIndex): RaftAction[] {
+		return this.step({
+			type: 'message',
+			from: replica(from),
+			message: {
+				type: 'append-response',
+				term: this.state.term,
+				isAccepted: true,
+				index,
+				hintIndex: 0,
+			},
+		});
+	}
+}
+
+export const messagesOf = (actions: RaftAction[]) =>
+	actions.flatMap((action) => (action.type === 'send' ? [action.message] : []));
+
+export const appendOf = (
+	term: number,
+	previous: {index: number; term: number},
+	entries: LogEntry[],
+	commitIndex = 0,
+): RaftMessage => ({
+	type: 'append',
+	term,
+	previousIndex: previous.index,
+	previousTerm: previous.term,
+	commitIndex,
+	entries,
+});
