--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -122,6 +122,25 @@
 	);
 };
 
+const answerPreVote = (
+	context: StepContext,
+	from: ReplicaDescriptor,
+	request: VoteRequest,
+) => {
+	const {state} = context;
+	const isGranted = request.term > state.term && isLogUpToDate(state, request);
+	sendMessage(
+		context,
+		from,
+		{
+			type: 'pre-vote-response',
+			term: isGranted ? request.term : state.term,
+			isGranted,
+		},
+		false,
+	);
+};
+
 /** Answers a request for a vote or pre-vote. */
 export const answerVoteRequest = (
 	context: StepContext,
@@ -134,18 +153,7 @@
 	}
 
 	if (request.type === 'pre-vote') {
-		const isGranted =
-			request.term > state.term && isLogUpToDate(state, request);
-		sendMessage(
-			context,
-			from,
-			{
-				type: 'pre-vote-response',
-				term: isGranted ? request.term : state.term,
-				isGranted,
-			},
-			false,
-		);
+		answerPreVote(context, from, request);
 		return;
 	}
 
--- a/packages/consensus/src/follow.ts
+++ b/packages/consensus/src/follow.ts
@@ -11,6 +11,7 @@
 import type {
 	LogEntry,
 	RaftMessage,
+	RaftState,
 	SnapshotMeta,
 	StepContext,
 } from './raft-types.ts';
@@ -100,6 +101,33 @@
 	actions.push({type: 'append-entries-to-disk', entries: added});
 };
 
+/** The last entry that may match, or `undefined` when the previous entry itself matches. */
+const findMismatch = (
+	state: RaftState,
+	previousIndex: number,
+	previousTerm: number,
+) => {
+	if (previousIndex > state.log.lastIndex) {
+		return state.log.lastIndex;
+	}
+
+	const known = state.log.termAt(previousIndex);
+	if (known === undefined || known === previousTerm) {
+		return undefined;
+	}
+
+	assertInvariant(
+		previousIndex > state.commitIndex,
+		'log-matching',
+		{groupId: state.groupId, previousIndex, previousTerm},
+		`the committed entry has term ${known}`,
+	);
+	return Math.max(
+		state.commitIndex,
+		state.log.firstIndexOfTerm(previousIndex) - 1,
+	);
+};
+
 /** Takes entries from the leader when the one before them matches. */
 export const acceptAppend = (
 	context: StepContext,
@@ -113,30 +141,12 @@
 	}
 
 	const {previousIndex, previousTerm, entries} = message;
-	const known = state.log.termAt(previousIndex);
-	if (previousIndex > state.log.lastIndex) {
-		respond(context, from, {
-			isAccepted: false,
-			index: previousIndex,
-			hintIndex: state.log.lastIndex,
-		});
-		return;
-	}
-
-	if (known !== undefined && known !== previousTerm) {
-		assertInvariant(
-			previousIndex > state.commitIndex,
-			'log-matching',
-			{groupId: state.groupId, previousIndex, previousTerm},
-			`the committed entry has term ${known}`,
-		);
+	const hintIndex = findMismatch(state, previousIndex, previousTerm);
+	if (hintIndex !== undefined) {
 		respond(context, from, {
 			isAccepted: false,
 			index: previousIndex,
-			hintIndex: Math.max(
-				state.commitIndex,
-				state.log.firstIndexOfTerm(previousIndex) - 1,
-			),
+			hintIndex,
 		});
 		return;
 	}
--- a/packages/consensus/src/raft-state.ts
+++ b/packages/consensus/src/raft-state.ts
@@ -34,6 +34,38 @@
 export const decodeMembership = (entry: LogEntry): Membership =>
 	JSON.parse(Buffer.from(entry.command).toString('utf8')) as Membership;
 
+const recoverMemberships = (recovered: RecoveredReplica) => [
+	{index: recovered.baseIndex, membership: recovered.membership},
+	...recovered.entries
+		.filter((entry) => entry.kind === 'membership')
+		.map((entry) => ({
+			index: entry.index,
+			membership: decodeMembership(entry),
+		})),
+];
+
+/** The part of the state that a restart forgets. */
+const createVolatileState = () => ({
+	leader: undefined,
+	leaderOfTerm: undefined,
+	leaderContactMs: Number.NEGATIVE_INFINITY,
+	heartbeatDueMs: 0,
+	votes: new Map(),
+	progress: new Map(),
+	termStartIndex: 0,
+	leaderSinceMs: 0,
+	round: 0,
+	confirmedRound: 0,
+	waitingReads: [],
+	pendingReads: [],
+	transfer: undefined,
+	isStalled: false,
+	isFetching: false,
+	isCandidacyAllowed: true,
+	skippedElections: 0,
+	uncommittedBytes: 0,
+});
+
 /**
  * Creates the state of a replica as a follower.
  *
@@ -53,18 +85,6 @@
 		recovered.baseTerm,
 		recovered.entries,
 	);
-	const memberships = [
-		{index: recovered.baseIndex, membership: recovered.membership},
-	];
-	for (const entry of recovered.entries) {
-		if (entry.kind === 'membership') {
-			memberships.push({
-				index: entry.index,
-				membership: decodeMembership(entry),
-			});
-		}
-	}
-
 	return {
 		groupId: recovered.groupId,
 		selfId: recovered.selfId,
@@ -77,27 +97,10 @@
 		durableIndex: log.lastIndex,
 		commitIndex: recovered.snapshotIndex,
 		appliedIndex: recovered.snapshotIndex,
-		memberships,
+		memberships: recoverMemberships(recovered),
+		...createVolatileState(),
 		role: 'follower',
-		leader: undefined,
-		leaderOfTerm: undefined,
 		electionDueMs: nowMs + drawElectionTimeout(settings, random),
-		leaderContactMs: Number.NEGATIVE_INFINITY,
-		heartbeatDueMs: 0,
-		votes: new Map(),
-		progress: new Map(),
-		termStartIndex: 0,
-		leaderSinceMs: 0,
-		round: 0,
-		confirmedRound: 0,
-		waitingReads: [],
-		pendingReads: [],
-		transfer: undefined,
-		isStalled: false,
-		isFetching: false,
-		isCandidacyAllowed: true,
-		skippedElections: 0,
-		uncommittedBytes: 0,
 	};
 };
 
--- a/packages/consensus/src/replicate.ts
+++ b/packages/consensus/src/replicate.ts
@@ -138,6 +138,21 @@
 	}
 };
 
+const noteRefusal = (progress: Progress, response: AppendResponse) => {
+	// A refusal of what matches by now was delayed.
+	if (response.index <= progress.matchIndex || progress.mode === 'snapshot') {
+		return;
+	}
+
+	progress.mode = 'probe';
+	progress.inFlight = [];
+	progress.nextIndex =
+		Math.max(
+			progress.matchIndex,
+			Math.min(response.hintIndex, response.index - 1),
+		) + 1;
+};
+
 /** Updates what is known of a replica; returns whether its matching prefix has grown. */
 export const noteAppendResponse = (
 	context: StepContext,
@@ -147,17 +162,7 @@
 	const {state, nowMs} = context;
 	const progress = state.progress.get(from.diskId)!;
 	if (!response.isAccepted) {
-		if (response.index <= progress.matchIndex || progress.mode === 'snapshot') {
-			return false;
-		}
-
-		progress.mode = 'probe';
-		progress.inFlight = [];
-		progress.nextIndex =
-			Math.max(
-				progress.matchIndex,
-				Math.min(response.hintIndex, response.index - 1),
-			) + 1;
+		noteRefusal(progress, response);
 		return false;
 	}
 
