Never report a granted call as not-run after a lost attempt

Cause, found by reading: a refusal of the next attempt (no upstream, no lease, no leader) reached the caller with the verdict not-run, although the lost attempt may have run. The owner now answers that it is not sure, and the entry daemon gives every failure of programs.reportLost the verdict may-have-run. The new unit test failed before (verdict not-run).

The drain is split into two functions without a change of behaviour.

--- a/packages/daemon/src/entry/call-follower.test.ts
+++ b/packages/daemon/src/entry/call-follower.test.ts
@@ -1,3 +1,4 @@
+import {RefusedError} from '@marjoramcove/errors';
 import type {CallHandlers} from '@marjoramcove/transport';
 import {describe, expect, it} from 'vitest';
 import {
@@ -53,6 +54,7 @@
 const follow = async (
 	attempts: DispatchEvent[][],
 	resume?: {attempt: number; offset: number},
+	reportError?: Error,
 ) => {
 	const log: string[] = [];
 	const reports: unknown[] = [];
@@ -61,6 +63,9 @@
 		async call(_group: unknown, path: string, body: unknown) {
 			if (path === 'programs.reportLost') {
 				reports.push(body);
+				if (reportError) {
+					throw reportError;
+				}
 			}
 
 			return granted(attempt + 1);
@@ -105,6 +110,17 @@
 		expect(reports).toMatchObject([{attempt: 1, partial: 'abc'}]);
 	});
 
+	it('reports no granted call as not-run', async () => {
+		// Guards against a refusal of the next attempt that is taken for one of the whole call.
+		await expect(
+			follow(
+				[[chunk(0, 'abc'), {type: 'lost', reason: 'engine-unreachable'}]],
+				undefined,
+				new RefusedError('None.', {reason: 'no-leader', hint: ''}),
+			),
+		).rejects.toMatchObject({reason: 'no-leader', verdict: 'may-have-run'});
+	});
+
 	it('restarts when a later attempt differs from the delivered text', async () => {
 		const {log} = await follow([
 			[chunk(0, 'abc'), {type: 'lost', reason: 'engine-unreachable'}],
--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -8,7 +8,7 @@
 	Grant,
 	Usage,
 } from '../call-contracts.ts';
-import type {DaemonContext} from '../daemon-context.ts';
+import {type DaemonContext, isNotRun, reasonOf} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
@@ -170,11 +170,24 @@
 			}
 
 			await sleep(state.status === 'unsure' ? state.retryAfterMs : 20);
-			state = await this.#callOwner(input, 'programs.reportLost', {
+			state = await this.#reportLost(input, attempt, delivery.text);
+		}
+	}
+
+	/** Asks what follows a lost attempt. The call was granted, so no failure here means `not-run`. */
+	async #reportLost(
+		input: AcceptInput,
+		attempt: number,
+		partial: string,
+	): Promise<CallState> {
+		try {
+			return await this.#callOwner(input, 'programs.reportLost', {
 				accept: input,
 				attempt,
-				partial: delivery.text,
+				partial,
 			});
+		} catch (error) {
+			throw isNotRun(error) ? outcomeUnknown(input, reasonOf(error)) : error;
 		}
 	}
 
@@ -241,11 +254,11 @@
 	};
 };
 
-const outcomeUnknown = (input: AcceptInput) =>
+const outcomeUnknown = (input: AcceptInput, reason = 'call-timeout') =>
 	new MarjoramcoveError(
 		`The outcome of request ${input.requestId} is not known yet.`,
 		{
-			reason: 'call-timeout',
+			reason,
 			verdict: 'may-have-run',
 			hint: `Look it up: GET /v1/programs/${input.programId}/requests/${input.requestId}.`,
 		},
--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -14,13 +14,14 @@
 import {messageOf, reasonOf, refusal} from '../daemon-context.ts';
 import {type CallAccepter, estimatePromptTokens} from './call-accepter.ts';
 import {type OwnerCore} from './owner-core.ts';
-import {type Outstanding, routeCall} from './route-call.ts';
+import {type Outstanding, type Route, routeCall} from './route-call.ts';
 
 /** What is known of the attempt at its dispatcher. */
 type Finding = AttemptStatus | 'gone' | 'unsure';
 
 const dispatcherTimeoutMs = 1000;
 const retryAfterMs = 200;
+const routeRetryAfterMs = 500;
 
 const nameOf = (call: OpenCallDescription): AttemptName => ({
 	programId: call.programId,
@@ -132,21 +133,17 @@
 		}
 	}
 
+	/** Records the next attempt, or settles the call when its limits allow none. */
 	async #retry(
 		input: AcceptInput,
 		call: OpenCallDescription,
 		partial: string,
 	): Promise<CallState> {
-		this.#core.configuration.assertLease();
-		const program = await this.#core.openProgram(input.programId);
-		const route = routeCall(this.#core, this.#outstanding, {
-			program,
-			target: input.target,
-			zone: input.zone,
-			promptTokens: estimatePromptTokens([program.historyBytes]),
-			completionTokens: input.maxTokens ?? 0,
-			avoid: new Set<UpstreamId>([call.upstreamId]),
-		});
+		const route = await this.#findRoute(input, call);
+		if (!route) {
+			return {status: 'unsure', retryAfterMs: routeRetryAfterMs};
+		}
+
 		const result = await this.#core.propose(input.programId, {
 			type: 'retry-call',
 			nowMs: this.#core.commandTimeMs(input.programId),
@@ -181,6 +178,34 @@
 		return this.#current(input);
 	}
 
+	/**
+	 * Route of the next attempt; undefined while there is none. That is no refusal of the call, because
+	 * the lost attempt may have run.
+	 */
+	async #findRoute(
+		input: AcceptInput,
+		call: OpenCallDescription,
+	): Promise<Route | undefined> {
+		const program = await this.#core.openProgram(input.programId);
+		try {
+			this.#core.configuration.assertLease();
+			return routeCall(this.#core, this.#outstanding, {
+				program,
+				target: input.target,
+				zone: input.zone,
+				promptTokens: estimatePromptTokens([program.historyBytes]),
+				completionTokens: input.maxTokens ?? 0,
+				avoid: new Set<UpstreamId>([call.upstreamId]),
+			});
+		} catch (error) {
+			this.#core.context.retries.increment({
+				step: 'route-retry',
+				reason: reasonOf(error),
+			});
+			return undefined;
+		}
+	}
+
 	async #settleUnrepeatable(
 		input: AcceptInput,
 		call: OpenCallDescription,
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -31,6 +31,7 @@
 	readonly #dispatcher: DispatcherService;
 	readonly #entry: EntryService;
 	#drained: Promise<void> | undefined;
+	#hasHandedOver = false;
 	#readyTimer: NodeJS.Timeout | undefined;
 
 	constructor(context: DaemonContext, onDrainRequested: () => void) {
@@ -91,51 +92,48 @@
 	}
 
 	async #drainOnce(): Promise<void> {
-		const {logger, settings} = this.#context;
+		const {logger} = this.#context;
 		const startedMs = performance.now();
 		this.#context.phase = 'draining';
 		logger.info({event: 'drain-started'});
 		this.#configuration.heartbeat();
-		let hasHandedOver = false;
 		const handOver = async () => {
 			await this.#replication.handOver();
-			hasHandedOver = true;
+			this.#hasHandedOver = true;
 		};
 
 		void handOver();
-		const {addressTtlMs, drainTimeoutMs} = settings.timing;
+		await this.#waitUntilIdle(startedMs);
+		await this.#kernel.drain();
+		logger.info({
+			event: 'drain-finished',
+			durationMs: Math.round(performance.now() - startedMs),
+		});
+	}
+
+	/** Waits for the work under way, at least as long as callers may use cached addresses. */
+	async #waitUntilIdle(startedMs: number): Promise<void> {
+		const {addressTtlMs, drainTimeoutMs} = this.#context.settings.timing;
 		let nextReportMs = startedMs + drainTimeoutMs;
-		// Callers may use addresses that they cached just before for this time.
-		const serveUntilMs = startedMs + addressTtlMs;
 		for (;;) {
 			const nowMs = performance.now();
 			const left = {
 				requests: this.#entry.activeRequests,
 				runs: this.#dispatcher.activeRuns,
-				leads: !hasHandedOver,
+				leads: !this.#hasHandedOver,
 			};
-			if (
-				nowMs >= serveUntilMs &&
-				left.requests === 0 &&
-				left.runs === 0 &&
-				!left.leads
-			) {
-				break;
+			const isIdle = left.requests === 0 && left.runs === 0 && !left.leads;
+			if (isIdle && nowMs >= startedMs + addressTtlMs) {
+				return;
 			}
 
 			if (nowMs >= nextReportMs) {
 				nextReportMs += drainTimeoutMs;
-				logger.warn({event: 'drain-continues', ...left});
+				this.#context.logger.warn({event: 'drain-continues', ...left});
 			}
 
 			await sleep(drainPollMs);
 		}
-
-		await this.#kernel.drain();
-		logger.info({
-			event: 'drain-finished',
-			durationMs: Math.round(performance.now() - startedMs),
-		});
 	}
 }
 
