Add partitions, frozen dispatchers and deliberate faults

The test of a frozen dispatcher between intent and send failed in 2 of 3 runs: after the restart of a daemon by the test before, the dispatcher of the service moved back while the slots were being filled, so the call did not wait. Ruled out: a lost intent; the call had been answered already. The tests now wait until all daemons agree on the dispatcher.

The harness can cause one fault per invariant. A lease of 600 s made the set-up time out instead of the check, so that fault uses 35 s.

--- a/packages/integration/src/helpers/find-roles.ts
+++ b/packages/integration/src/helpers/find-roles.ts
@@ -62,3 +62,29 @@
 		const leader = await findLeader(caller, groupOf(programId));
 		return isOwner(leader) ? programId : undefined;
 	});
+
+/**
+ * Waits until all daemons of a bed are members and agree on the dispatcher of an upstream; after a
+ * restart the dispatcher moves back once.
+ */
+export const waitForStableRoles = async (
+	bed: TestBed,
+	upstream: string,
+): Promise<void> => {
+	await waitFor('all daemons to be members and to agree', async () => {
+		const members = await bed
+			.caller(bed.cluster.daemons[0]!.daemonId)
+			.send<{daemons: Array<{phase: string}>}>('GET', '/v1/operator/daemons');
+		const ready = members.body.daemons.filter(({phase}) => phase === 'ready');
+		if (ready.length !== bed.cluster.daemons.length) {
+			return false;
+		}
+
+		const dispatchers = await Promise.all(
+			bed.cluster.daemons.map(async ({daemonId}) =>
+				findDispatcher(bed.caller(daemonId), upstream),
+			),
+		);
+		return new Set(dispatchers).size === 1;
+	});
+};
--- a/packages/integration/src/i1-durable-state.test.ts
+++ b/packages/integration/src/i1-durable-state.test.ts
@@ -3,6 +3,7 @@
 import {runCommand, TestBed, waitFor} from '@marjoramcove/test-support';
 import {findLeader, groupOf} from './helpers/find-roles.ts';
 import {retryRefused} from './helpers/retry-refused.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I1 durable state', () => {
@@ -101,6 +102,12 @@
 		);
 		expect(replaced.code, replaced.err).toBe(0);
 		await bed.cluster.daemon('d1').kill();
+		if (isFaultInjected('lose-second-disk')) {
+			await lost.kill();
+			rmSync(lost.dataFolder, {recursive: true});
+			lost.start();
+		}
+
 		await expectHistory('d4', programId, 'b');
 		await expectHistory('d5', during, 'c');
 		await writeProgram('d4', 'd');
--- a/packages/integration/src/i10-limits.test.ts
+++ b/packages/integration/src/i10-limits.test.ts
@@ -1,5 +1,6 @@
 import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
 import {errorOf, TestBed, waitFor} from '@marjoramcove/test-support';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I10 hung tools and endless loops', () => {
@@ -7,6 +8,16 @@
 
 	beforeAll(async () => {
 		bed = await TestBed.start({daemonCount: 5, engineCount: 1});
+		if (isFaultInjected('endless-operation-time')) {
+			const resources = bed.resources();
+			for (const {spec} of resources) {
+				spec.operations &&= {
+					'charge-fee': {idempotent: false, timeoutMs: 600_000},
+				};
+			}
+
+			await bed.apply(resources);
+		}
 	});
 
 	afterEach((context) => {
--- a/packages/integration/src/i2-at-most-once.test.ts
+++ b/packages/integration/src/i2-at-most-once.test.ts
@@ -5,9 +5,15 @@
 	TestBed,
 	waitFor,
 } from '@marjoramcove/test-support';
-import {findDispatcher, findLeader, groupOf} from './helpers/find-roles.ts';
+import {
+	findDispatcher,
+	findLeader,
+	groupOf,
+	waitForStableRoles,
+} from './helpers/find-roles.ts';
 import {isRefused, retryRefused} from './helpers/retry-refused.ts';
 import {settleQuietly} from './helpers/settle-quietly.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 const operation = 'entry-desk/charge-fee';
@@ -17,12 +23,13 @@
 	let serial = 0;
 
 	beforeAll(async () => {
-		bed = await TestBed.start({daemonCount: 6, engineCount: 1});
+		bed = await TestBed.start({daemonCount: 6, engineCount: 1, proxied: true});
 	});
 
 	afterEach(async (context) => {
 		showLogsOnFailure(bed, context);
 		bed.entryDesk.clearFaults();
+		bed.cluster.heal();
 		for (const daemon of bed.cluster.daemons) {
 			daemon.signal('SIGCONT');
 			if (!daemon.running) {
@@ -31,6 +38,7 @@
 		}
 
 		await bed.cluster.ready();
+		await waitForStableRoles(bed, 'entry-desk-1');
 	});
 
 	afterAll(async () => {
@@ -85,6 +93,18 @@
 			}),
 		);
 
+	/** Kills or freezes a daemon, or makes its links to the others silent. */
+	const harmDaemon = (
+		daemonId: string,
+		harm: 'SIGKILL' | 'SIGSTOP' | 'both' | 'outgoing',
+	) => {
+		if (harm === 'both' || harm === 'outgoing') {
+			bed.cluster.isolate(daemonId, harm);
+		} else {
+			bed.cluster.daemon(daemonId).signal(harm);
+		}
+	};
+
 	const nextRef = () => `fee-${++serial}`;
 
 	const rolesOf = async (programId: string) => {
@@ -96,14 +116,14 @@
 		};
 	};
 
-	/** An entry daemon that is neither owner nor dispatcher would need a fixed layout; resends use a daemon that is none of the harmed one. */
+	/** A daemon other than the harmed one, for resending. */
 	const healthyEntry = (harmed: string) =>
 		bed.cluster.daemons.findLast(({daemonId}) => daemonId !== harmed)!.daemonId;
 
 	describe.each(['owner', 'dispatcher', 'entry'] as const)('%s', (role) => {
-		it.each(['SIGKILL', 'SIGSTOP'] as const)(
+		it.each(['SIGKILL', 'SIGSTOP', 'both', 'outgoing'] as const)(
 			'with %s between send and outcome',
-			async (signal) => {
+			async (harm) => {
 				// Guards against a second sending by the process that takes over.
 				const programId = await bed.caller('d5').openProgram();
 				const ref = nextRef();
@@ -119,12 +139,13 @@
 				);
 				const roles = await rolesOf(programId);
 				const harmed = bed.cluster.daemon(roles[role]);
-				harmed.signal(signal);
+				harmDaemon(roles[role], harm);
 				const answer = await settle(healthyEntry(roles[role]), programId, [
 					ref,
 					ref,
 				]);
 				harmed.signal('SIGCONT');
+				bed.cluster.heal();
 				await expectHonest(answer, ref, 1500);
 				await first;
 			},
@@ -201,8 +222,11 @@
 					.callTool(programId, operation, {ref}, {requestId: ref}),
 			);
 			expect(errorOf(first)?.verdict).toBe('may-have-run');
+			const resentId = isFaultInjected('resend-unknown-outcome')
+				? `${ref}-again`
+				: ref;
 			for (const daemonId of ['d4', 'd6']) {
-				const resent = await settle(daemonId, programId, [ref, ref]);
+				const resent = await settle(daemonId, programId, [ref, resentId]);
 				expect(errorOf(resent)?.verdict).toBe('may-have-run');
 			}
 
--- a/packages/integration/src/i3-order-and-history.test.ts
+++ b/packages/integration/src/i3-order-and-history.test.ts
@@ -1,6 +1,7 @@
 import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
 import {errorOf, TestBed} from '@marjoramcove/test-support';
 import {retryRefused} from './helpers/retry-refused.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I3 order and history', () => {
@@ -31,7 +32,9 @@
 						.caller(`d${(turn % 5) + 1}`)
 						.callModel(programId, `Question ${turn}.`, {
 							requestId: `r${turn}`,
-							turn: base + turn,
+							...(!isFaultInjected('omit-turn-numbers') && {
+								turn: base + turn,
+							}),
 						});
 					// A turn that is not next yet is refused as not run and sent again.
 					return errorOf(answer)?.reason === 'turn-out-of-order'
--- a/packages/integration/src/i4-whole-answers.test.ts
+++ b/packages/integration/src/i4-whole-answers.test.ts
@@ -7,6 +7,12 @@
 	TestBed,
 	waitFor,
 } from '@marjoramcove/test-support';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
+import {
+	findDispatcher,
+	findOther,
+	waitForStableRoles,
+} from './helpers/find-roles.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I4 whole answers', () => {
@@ -49,9 +55,10 @@
 			async () => {
 				const call = bed.caller(daemonId).streamModel(programId, message, {
 					requestId,
-					...(partial.lastEventId !== '' && {
-						lastEventId: partial.lastEventId,
-					}),
+					...(partial.lastEventId !== '' &&
+						!isFaultInjected('resume-without-position') && {
+							lastEventId: partial.lastEventId,
+						}),
 				});
 				const result = await call.finished;
 				if (!result.complete) {
@@ -115,6 +122,39 @@
 		await expectRecorded(programId, result.text);
 	});
 
+	it.each(['SIGSTOP', 'SIGKILL'] as const)(
+		'keeps delivered bytes a prefix of the answer when the dispatcher gets %s in mid-stream',
+		async (signal) => {
+			// Guards against a caller that waits for a frozen dispatcher, and against mixed attempts.
+			const message = 'Dispatcher gone. [tokens=400]';
+			await waitForStableRoles(bed, 'engine-1');
+			const dispatchers = await Promise.all(
+				['engine-1', 'engine-2'].map(async (name) =>
+					findDispatcher(bed.caller('d1'), name),
+				),
+			);
+			const entry = findOther(bed, ...dispatchers);
+			const programId = await bed.caller(entry).openProgram();
+			const counts = bed.engines.map(({calls}) => calls.length);
+			const call = bed
+				.caller(entry)
+				.streamModel(programId, message, {requestId: 'r1'});
+			await waitFor('some bytes', () => call.current.text.length > 100);
+			const used = bed.engines.findIndex(
+				({calls}, index) => calls.length > counts[index]!,
+			);
+			const dispatcher = bed.cluster.daemon(dispatchers[used]!);
+			dispatcher.signal(signal);
+			const delivered = call.current.text;
+			const result = await call.finished;
+			dispatcher.signal('SIGCONT');
+			expect(result).toMatchObject({complete: true, restarted: false});
+			expect(result.text.startsWith(delivered)).toBe(true);
+			expect(result.text.length).toBe(400 * 4);
+			await expectRecorded(programId, result.text);
+		},
+	);
+
 	it('resumes at the engine when its connection goes silent', async () => {
 		// Guards against a call that waits for ever on a silent connection, and against a second prompt.
 		const message = 'Silence. [tokens=200]';
--- a/packages/integration/src/i5-configuration.test.ts
+++ b/packages/integration/src/i5-configuration.test.ts
@@ -8,6 +8,7 @@
 	TestBed,
 	waitFor,
 } from '@marjoramcove/test-support';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 const applyOf = (resource: unknown) => [{type: 'apply', resource}];
@@ -16,7 +17,14 @@
 	let bed: TestBed;
 
 	beforeAll(async () => {
-		bed = await TestBed.start({daemonCount: 5, engineCount: 1, proxied: true});
+		bed = await TestBed.start({
+			daemonCount: 5,
+			engineCount: 1,
+			proxied: true,
+			...(isFaultInjected('endless-lease') && {
+				settings: {timing: {configurationLeaseMs: 35_000}},
+			}),
+		});
 	});
 
 	afterEach(async (context) => {
--- a/packages/integration/src/i6-budget.test.ts
+++ b/packages/integration/src/i6-budget.test.ts
@@ -2,13 +2,20 @@
 import {errorOf, TestBed, waitFor} from '@marjoramcove/test-support';
 import {isRefused} from './helpers/retry-refused.ts';
 import {settleQuietly} from './helpers/settle-quietly.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I6 budget', () => {
 	let bed: TestBed;
 
 	beforeAll(async () => {
-		bed = await TestBed.start({daemonCount: 5, engineCount: 2});
+		bed = await TestBed.start({
+			daemonCount: 5,
+			engineCount: 2,
+			engineOptions: {
+				ignoreMaxTokens: isFaultInjected('engine-ignores-max-tokens'),
+			},
+		});
 	});
 
 	afterEach(async (context) => {
@@ -54,7 +61,7 @@
 			async () => {
 				const answer = await bed
 					.caller(daemonId)
-					.callModel(programId, 'More. [tokens=50]', {maxTokens: 50});
+					.callModel(programId, 'More. [tokens=1200]', {maxTokens: 50});
 				const reason = errorOf(answer)?.reason;
 				return isRefused(answer) || reason === undefined ? undefined : reason;
 			},
--- a/packages/integration/src/i7-fencing.test.ts
+++ b/packages/integration/src/i7-fencing.test.ts
@@ -6,6 +6,7 @@
 	waitFor,
 } from '@marjoramcove/test-support';
 import {findLeader, findOther} from './helpers/find-roles.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 const VERSIONS = ['2', '3', '4', '5'];
@@ -18,7 +19,13 @@
 			daemonCount: 5,
 			engineCount: 2,
 			proxied: true,
-			perEngine: [{checksFencing: true}, {checksFencing: false}],
+			perEngine: [
+				{
+					checksFencing: true,
+					executesOldOrders: isFaultInjected('unchecked-fencing'),
+				},
+				{checksFencing: false},
+			],
 		});
 	});
 
@@ -84,6 +91,21 @@
 		expect(numbers).toEqual(numbers.toSorted((a, b) => a - b));
 	};
 
+	/** An order of the old leader that was under way for a long time arrives. */
+	const sendLateOrder = async () => {
+		const engine = bed.engines[0]!;
+		const response = await fetch(`${engine.url}/v1/orders`, {
+			method: 'POST',
+			body: JSON.stringify({
+				fencingNumber: engine.orders.fencingNumber - 1,
+				orderId: 'late',
+				type: 'set-version',
+				version: '0',
+			}),
+		});
+		await response.text();
+	};
+
 	it.each([
 		['both', 0],
 		['outgoing', 1],
@@ -121,6 +143,7 @@
 			const known = await findLeader(bed.caller(leader), 'config');
 			return known !== leader;
 		});
+		await sendLateOrder();
 		await expectVersion(version);
 		expectOrdersFenced();
 	});
--- a/packages/integration/src/i8-engine-memory.test.ts
+++ b/packages/integration/src/i8-engine-memory.test.ts
@@ -1,6 +1,7 @@
 import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
 import {TestBed, waitFor} from '@marjoramcove/test-support';
 import {findLeader, groupOf} from './helpers/find-roles.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 describe('I8 engine memory', () => {
@@ -11,6 +12,9 @@
 			daemonCount: 5,
 			engineCount: 2,
 			settings: {timing: {memoryReconcileMs: 1000}},
+			engineOptions: {
+				loseReleases: isFaultInjected('lose-all-releases') ? 1_000_000 : 0,
+			},
 		});
 	});
 
--- a/packages/integration/src/i9-leaving.test.ts
+++ b/packages/integration/src/i9-leaving.test.ts
@@ -8,6 +8,7 @@
 } from '@marjoramcove/test-support';
 import {findDispatcher, findLeader} from './helpers/find-roles.ts';
 import {retryRefused} from './helpers/retry-refused.ts';
+import {isFaultInjected} from './helpers/deliberate-fault.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
 
 // Section 2 of the design: no new work after a few seconds.
@@ -57,7 +58,7 @@
 		await waitFor('answers to begin', () =>
 			running.every(({current}) => current.text.length > 0),
 		);
-		engine.leaving = true;
+		engine.leaving = !isFaultInjected('hide-leaving');
 		const until = Date.now() + LEAVING_BOUND_MS;
 		await waitFor('the bound', () => Date.now() > until);
 		const before = engine.calls.length;
--- a/packages/test-support/src/engine/engine-options.ts
+++ b/packages/test-support/src/engine/engine-options.ts
@@ -11,10 +11,14 @@
 	kvCapacityTokens: number;
 	/** Length of an answer when the prompt does not ask for one with `[tokens=N]`. */
 	defaultAnswerTokens: number;
+	/** Whether answers may be longer than `max_tokens`. */
+	ignoreMaxTokens: boolean;
 	/** Answers depend on the salt; engines with the same salt give the same answers. */
 	salt: string;
 	/** Whether orders with an old fencing number are refused. */
 	checksFencing: boolean;
+	/** Fault: old orders are executed although `checksFencing` says otherwise. */
+	executesOldOrders: boolean;
 	/** Age of the load report. */
 	loadLagMs: number;
 	/** Time after which a cache event becomes visible. */
@@ -35,8 +39,10 @@
 	slots: 8,
 	kvCapacityTokens: 200_000,
 	defaultAnswerTokens: 16,
+	ignoreMaxTokens: false,
 	salt: '',
 	checksFencing: true,
+	executesOldOrders: false,
 	loadLagMs: 500,
 	cacheEventLagMs: 300,
 	dropEveryNthCacheEvent: 0,
--- a/packages/test-support/src/engine/engine-orders.ts
+++ b/packages/test-support/src/engine/engine-orders.ts
@@ -36,7 +36,7 @@
 	readonly #outcomes = new Map<string, EngineState>();
 
 	constructor(options: EngineOptions) {
-		this.#checksFencing = options.checksFencing;
+		this.#checksFencing = options.checksFencing && !options.executesOldOrders;
 		this.state = {
 			models: [...options.models],
 			adapters: [...options.adapters],
--- a/packages/test-support/src/engine/model-engine.ts
+++ b/packages/test-support/src/engine/model-engine.ts
@@ -236,7 +236,7 @@
 			totalTokens: answerTokens(
 				body.messages,
 				this.options.defaultAnswerTokens,
-				body.max_tokens,
+				this.options.ignoreMaxTokens ? undefined : body.max_tokens,
 			),
 			prefillLeft: 0,
 			text: '',
