--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -20,7 +20,6 @@
 import {
 	createMembershipState,
 	liveDaemons,
-	type MemberReport,
 	membersSince,
 	type MembershipState,
 	stepMembership,
@@ -30,26 +29,11 @@
 import {type DaemonContext, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
+import {type HeartbeatAnswer, heartbeatSchema} from './heartbeat-contract.ts';
+import type {UpstreamNotice} from './upstreams-service.ts';
 
 const propagationPollMs = 25;
 
-/** Heartbeat of a daemon to the configuration leader. */
-export const heartbeatSchema = z.object({
-	sequence: z.int(),
-	report: z.custom<MemberReport>(
-		(value) => typeof value === 'object' && value !== null,
-	),
-	known: z.object({epoch: z.string(), version: z.number()}).optional(),
-});
-
-/** Answer of the configuration leader to a heartbeat. */
-export type HeartbeatAnswer = {
-	leaseMs: number;
-	digest: ReturnType<typeof configurationDigest>;
-	update?: ReturnType<typeof changesSince>;
-	members: ReturnType<typeof membersSince>;
-};
-
 /** Outcome of a change for the operator. */
 export type ChangeOutcome = {
 	revision: number;
@@ -63,6 +47,12 @@
 export class RegistrarService extends Service {
 	readonly #context: DaemonContext;
 	readonly #confirmations = new Map<DaemonId, DaemonConfirmation>();
+	/** Upstreams in trouble by their dispatcher. */
+	readonly #notices = new Map<
+		DaemonId,
+		{notices: UpstreamNotice[]; atMs: number}
+	>();
+
 	#replication!: ReplicationService;
 	#peers!: PeersService;
 	#membership!: MembershipState;
@@ -142,6 +132,7 @@
 		sequence,
 		report,
 		known,
+		notices,
 	}: z.output<typeof heartbeatSchema>): Promise<HeartbeatAnswer> {
 		await this.#replication.ensureLeader(configGroup);
 		this.#noteTerm();
@@ -157,6 +148,7 @@
 			{type: 'heartbeat', sequence, report},
 			nowMs,
 		).state;
+		this.#noteUpstreams(report.daemonId, notices);
 		const {state} = this.#replication.configuration;
 		const digest = configurationDigest(state);
 		this.#confirmations.set(report.daemonId, {
@@ -171,6 +163,30 @@
 				update: changesSince(state, report.appliedRevision),
 			}),
 			members: membersSince(this.#membership, known),
+			...this.#currentNotices(),
+		};
+	}
+
+	#noteUpstreams(daemonId: DaemonId, notices: UpstreamNotice[]): void {
+		if (notices.length === 0) {
+			this.#notices.delete(daemonId);
+		} else {
+			this.#notices.set(daemonId, {notices, atMs: performance.now()});
+		}
+	}
+
+	/** Notices of dispatchers that still send heartbeats. */
+	#currentNotices(): {notices?: UpstreamNotice[]} {
+		if (this.#notices.size === 0) {
+			return {};
+		}
+
+		const oldestMs =
+			performance.now() - this.#membership.settings.memberTimeoutMs;
+		return {
+			notices: [...this.#notices.values()]
+				.filter(({atMs}) => atMs >= oldestMs)
+				.flatMap(({notices}) => notices),
 		};
 	}
 
--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -1,12 +1,12 @@
 #!/usr/bin/env node
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
-import yargs from 'yargs';
-import {hideBin} from 'yargs/helpers';
 import {plotLatency} from './plot-latency.ts';
 import {formatMarkdown, formatTable} from './print-table.ts';
+import {readArguments, type ScenarioName} from './read-arguments.ts';
 import {averageRows, type Row} from './row.ts';
 import {runLive} from './run-live.ts';
+import {CONTROL_COLUMNS, runControl} from './run-control.ts';
 import {runFailures} from './run-failures.ts';
 import {runScenario} from './run-scenario.ts';
 import {runTarget, TARGET_COLUMNS} from './run-target.ts';
@@ -39,74 +39,6 @@
 	'recoveryMs',
 ];
 
-const SCENARIOS = ['baramyeon', 'piatothiki', 'failures', 'target'] as const;
-
-const LEAST_CACHE_TOKENS = 300_000;
-
-type ScenarioName = (typeof SCENARIOS)[number];
-
-const readArguments = () =>
-	yargs(hideBin(process.argv))
-		.scriptName('measure')
-		.command('$0 <scenario>', 'Runs the experiments of a scenario', (command) =>
-			command.positional('scenario', {choices: SCENARIOS, demandOption: true}),
-		)
-		.option('seed', {type: 'number', default: 1, describe: 'First seed'})
-		.option('seeds', {type: 'number', default: 1, describe: 'Number of seeds'})
-		.option('policies', {
-			type: 'string',
-			describe: 'Comma-separated names of the policies to run',
-		})
-		.option('cache-tokens', {
-			type: 'number',
-			describe: 'Cache of an engine, to see how much depends on it',
-		})
-		.option('loads', {
-			type: 'string',
-			describe: 'Comma-separated loads to run; all of the scenario when absent',
-		})
-		.option('live', {
-			type: 'boolean',
-			default: false,
-			describe: 'Drive real daemons at a smaller size, in real time',
-		})
-		.option('out', {type: 'string', describe: 'File for the rows as JSON'})
-		.option('plots', {type: 'string', describe: 'Folder for SVG plots'})
-		.option('markdown', {
-			type: 'boolean',
-			default: false,
-			describe: 'Print Markdown tables',
-		})
-		.check(({seed, seeds, loads, cacheTokens, live, scenario}) => {
-			if (
-				!Number.isSafeInteger(seed) ||
-				!Number.isSafeInteger(seeds) ||
-				seeds < 1
-			) {
-				throw new Error(
-					'--seed and --seeds must be integers, --seeds at least 1.',
-				);
-			}
-
-			if (live && scenario !== 'baramyeon' && scenario !== 'piatothiki') {
-				throw new Error('--live needs the scenario baramyeon or piatothiki.');
-			}
-
-			if (loads?.split(',').some((load) => !(Number(load) > 0))) {
-				throw new Error('--loads must be positive numbers, such as 0.9,1.1.');
-			}
-
-			if (!(Number(cacheTokens ?? LEAST_CACHE_TOKENS) >= LEAST_CACHE_TOKENS)) {
-				throw new Error(
-					`--cache-tokens must be at least ${LEAST_CACHE_TOKENS}, so that any program fits.`,
-				);
-			}
-
-			return true;
-		})
-		.strict()
-		.parseSync();
-
 type SeedOptions = {
 	live: boolean;
 	seed: number;
@@ -151,15 +83,21 @@
 		case 'target': {
 			return runTarget(options.seed);
 		}
+
+		case 'control': {
+			return runControl(options.seed);
+		}
 	}
 };
 
+const SPECIAL_COLUMNS: Partial<Record<ScenarioName, string[]>> = {
+	target: TARGET_COLUMNS,
+	failures: FAILURE_COLUMNS,
+	control: CONTROL_COLUMNS,
+};
+
 const readColumns = (name: ScenarioName): string[] =>
-	name === 'target'
-		? TARGET_COLUMNS
-		: name === 'failures'
-			? FAILURE_COLUMNS
-			: COLUMNS;
+	SPECIAL_COLUMNS[name] ?? COLUMNS;
 
 const writePlots = (folder: string, name: ScenarioName, rows: Row[]): void => {
 	mkdirSync(folder, {recursive: true});
@@ -171,6 +109,11 @@
 	}
 };
 
+const writeRows = (file: string, rows: Row[]): void => {
+	mkdirSync(path.dirname(path.resolve(file)), {recursive: true});
+	writeFileSync(file, `${JSON.stringify(rows, undefined, '\t')}\n`);
+};
+
 const main = async (): Promise<void> => {
 	const {seed, seeds, policies, loads, cacheTokens, ...rest} = readArguments();
 	const {out, plots, markdown} = rest;
@@ -186,16 +129,15 @@
 				live: rest.live,
 			})),
 		);
+		// A run over many seeds takes minutes; what is done survives its end.
+		if (out) {
+			writeRows(out, rows);
+		}
 	}
 
 	const means = averageRows(rows);
 	const format = markdown ? formatMarkdown : formatTable;
 	console.log(format(means, readColumns(name)));
-	if (out) {
-		mkdirSync(path.dirname(path.resolve(out)), {recursive: true});
-		writeFileSync(out, `${JSON.stringify(rows, undefined, '\t')}\n`);
-	}
-
 	if (plots && (name === 'baramyeon' || name === 'piatothiki')) {
 		writePlots(plots, name, means);
 	}
--- a/packages/soak/src/consensus/simulated-daemon.ts
+++ b/packages/soak/src/consensus/simulated-daemon.ts
@@ -3,6 +3,7 @@
 	ReplicaHost,
 	type ReplicaHostOptions,
 	type stepRaft,
+	type VirtualTime,
 } from '@marjoramcove/consensus';
 import {MemoryFileSystem} from '@marjoramcove/storage';
 import {
@@ -12,7 +13,6 @@
 	type GroupId,
 } from '@marjoramcove/types';
 import type {RandomSource} from '../random-source.ts';
-import type {VirtualTime} from '../virtual-time.ts';
 import {ListMachine} from './list-machine.ts';
 
 /** A clock that drifts, and stands still for the process while it is frozen. */
@@ -50,6 +50,8 @@
 	initialIds: readonly DaemonId[];
 	send: (from: string, to: string, bytes: Uint8Array) => void;
 	onFatal: (daemon: SimulatedDaemon, error: unknown) => void;
+	/** A replica of this daemon has become leader. */
+	onLeader: (daemon: SimulatedDaemon, groupId: GroupId, term: number) => void;
 	step?: typeof stepRaft;
 	isSyncSkipped?: (file: string) => boolean;
 	createDiskId?: (daemonId: string) => string;
@@ -101,14 +103,14 @@
 
 	localTime(): number {
 		const {localMs, globalMs} = this.#clockBase;
-		const elapsedMs = this.#surroundings.time.nowMs - globalMs;
+		const elapsedMs = this.#surroundings.time.nowMs() - globalMs;
 		return localMs + elapsedMs * this.clockRate;
 	}
 
 	setClockRate(rate: number): void {
 		this.#clockBase = {
 			localMs: this.localTime(),
-			globalMs: this.#surroundings.time.nowMs,
+			globalMs: this.#surroundings.time.nowMs(),
 		};
 		this.clockRate = rate;
 	}
@@ -142,6 +144,11 @@
 				this.diskId = host.diskId;
 			}
 
+			host.onLeadershipChange((groupId, {isLeader, term}) => {
+				if (isLeader && process === this.#process) {
+					this.#surroundings.onLeader(this, groupId, term);
+				}
+			});
 			for (const groupId of this.#surroundings.groupIds) {
 				const machine = new ListMachine();
 				machines.set(groupId, machine);
