Make the bytes per token of reservations a setting

Cause: reservations of prompts assumed four bytes per token; an engine whose tokenizer has shorter tokens spent more than was reserved, and nothing showed it. Ruled out: one byte per token for all, which is safe for every byte-based tokenizer but reserves four times too much for common text and refuses calls that fit.

--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -21,11 +21,11 @@
 import type {ProgramGates} from './program-gates.ts';
 import {type Outstanding, type Route, routeCall} from './route-call.ts';
 
-/** Bytes of UTF-8 per token that reservations assume. */
-const bytesPerToken = 4;
-
 /** Tokens that a prompt of these sizes takes at most; one byte per entry separates them. */
-export const estimatePromptTokens = (sizesBytes: readonly number[]): number =>
+export const estimatePromptTokens = (
+	sizesBytes: readonly number[],
+	bytesPerToken: number,
+): number =>
 	Math.ceil(
 		sizesBytes.reduce((sum, sizeBytes) => sum + sizeBytes + 1, 0) /
 			bytesPerToken,
@@ -210,10 +210,13 @@
 			input.kind === 'model'
 				? planMessages(entries, input.messages)
 				: input.messages;
-		const promptTokens = estimatePromptTokens([
-			...entries.map(({lengthBytes}) => lengthBytes),
-			...messages.map(({content}) => Buffer.byteLength(content)),
-		]);
+		const promptTokens = estimatePromptTokens(
+			[
+				...entries.map(({lengthBytes}) => lengthBytes),
+				...messages.map(({content}) => Buffer.byteLength(content)),
+			],
+			this.#bytesPerToken,
+		);
 		const completionTokens = this.#completionTokens(
 			input,
 			program,
@@ -327,6 +330,7 @@
 		);
 		const promptTokens = estimatePromptTokens(
 			entries.map(({lengthBytes}) => lengthBytes),
+			this.#bytesPerToken,
 		);
 		const selectors = this.#core.configuration.view.selectorsFor(
 			program.labels,
@@ -358,4 +362,8 @@
 			deadlineMs: program.deadlineMs,
 		};
 	}
+
+	get #bytesPerToken(): number {
+		return this.#core.context.settings.limits.bytesPerToken;
+	}
 }
--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -193,7 +193,10 @@
 				program,
 				target: input.target,
 				zone: input.zone,
-				promptTokens: estimatePromptTokens([program.historyBytes]),
+				promptTokens: estimatePromptTokens(
+					[program.historyBytes],
+					this.#core.context.settings.limits.bytesPerToken,
+				),
 				completionTokens: input.maxTokens ?? 0,
 				avoid: new Set<UpstreamId>([call.upstreamId]),
 			});
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -169,11 +169,37 @@
 				this.#core.upstreams.noteLoad(upstreamId, report);
 			}
 
-			return this.#core.commit(input.programId, {
+			const result = await this.#core.commit(input.programId, {
 				type: 'settle-call',
 				nowMs: this.#core.commandTimeMs(input.programId),
 				...input,
 			});
+			this.#reportOverrun(input, result);
+			return result;
+		});
+	}
+
+	/** An engine counted more tokens than were reserved: `limits.bytesPerToken` is too large for it. */
+	#reportOverrun(
+		{programId, requestId}: {programId: ProgramId; requestId: string},
+		result: ProgramResult,
+	): void {
+		if (result.outcome !== 'settled' || result.overrunTokens === 0) {
+			return;
+		}
+
+		const {overrunTokens} = result;
+		this.#context.metrics
+			.counter(
+				'marjoramcove_overrun_tokens_total',
+				'Tokens that engines counted beyond the reservation of their call.',
+			)
+			.increment({}, overrunTokens);
+		this.#context.logger.warn({
+			event: 'reservation-exceeded',
+			programId,
+			requestId,
+			overrunTokens,
 		});
 	}
 
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -69,6 +69,8 @@
 	openConnections: countSchema.default(4096),
 	programsPerShard: countSchema.default(200_000),
 	defaultCompletionTokens: countSchema.default(1024),
+	/** Fewest bytes of UTF-8 per token of the tokenizers in use; reservations of prompts divide by it. */
+	bytesPerToken: z.number().min(1).max(16).default(4),
 	snapshotEntries: countSchema.default(10_000),
 });
 
