--- a/packages/daemon/src/entry/call-follower.test.ts
+++ b/packages/daemon/src/entry/call-follower.test.ts
@@ -1,3 +1,4 @@
+import {RefusedError} from '@marjoramcove/errors';
 import type {CallHandlers} from '@marjoramcove/transport';
 import {describe, expect, it} from 'vitest';
 import {
@@ -26,7 +27,13 @@
 const granted = (attempt: number): CallState =>
 	({
 		status: 'granted',
-		grant: {attempt, timeoutMs: 1000, dispatcherId: 'd1', turn: 1},
+		grant: {
+			attempt,
+			kind: 'model',
+			timeoutMs: 1000,
+			dispatcherId: 'd1',
+			turn: 1,
+		},
 		payload: {messages: [], parameters: {}, prefix: ''},
 	}) as unknown as CallState;
 
@@ -47,6 +54,7 @@
 const follow = async (
 	attempts: DispatchEvent[][],
 	resume?: {attempt: number; offset: number},
+	reportError?: Error,
 ) => {
 	const log: string[] = [];
 	const reports: unknown[] = [];
@@ -55,6 +63,9 @@
 		async call(_group: unknown, path: string, body: unknown) {
 			if (path === 'programs.reportLost') {
 				reports.push(body);
+				if (reportError) {
+					throw reportError;
+				}
 			}
 
 			return granted(attempt + 1);
@@ -99,6 +110,17 @@
 		expect(reports).toMatchObject([{attempt: 1, partial: 'abc'}]);
 	});
 
+	it('reports no granted call as not-run', async () => {
+		// Guards against a refusal of the next attempt that is taken for one of the whole call.
+		await expect(
+			follow(
+				[[chunk(0, 'abc'), {type: 'lost', reason: 'engine-unreachable'}]],
+				undefined,
+				new RefusedError('None.', {reason: 'no-leader', hint: ''}),
+			),
+		).rejects.toMatchObject({reason: 'no-leader', verdict: 'may-have-run'});
+	});
+
 	it('restarts when a later attempt differs from the delivered text', async () => {
 		const {log} = await follow([
 			[chunk(0, 'abc'), {type: 'lost', reason: 'engine-unreachable'}],
--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -5,14 +5,14 @@
 	AcceptInput,
 	CallPayload,
 	CallState,
-	DispatchEvent,
 	Grant,
 	Usage,
 } from '../call-contracts.ts';
-import {type DaemonContext, reasonOf} from '../daemon-context.ts';
+import {type DaemonContext, isNotRun, reasonOf} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
+import {type AttemptEnd, readAttempt} from './read-attempt.ts';
 
 /** Receives the answer while it arrives. */
 export type AnswerReader = {
@@ -39,8 +39,6 @@
 
 type Attempt = {grant: Grant; payload: CallPayload; receivedMs: number};
 
-type AttemptEnd = Extract<DispatchEvent, {type: 'final' | 'lost'}>;
-
 const followGraceMs = 30_000;
 
 /** Text that the caller has, over all attempts of one call. */
@@ -161,28 +159,35 @@
 					signal,
 				);
 				if (end.type === 'final') {
-					if (end.outcome.status === 'answered' && input.kind === 'model') {
-						delivery.finish(attempt, end.content);
-					}
-
-					return {...end, attempt, turn: state.grant.turn};
-				}
-
-				if (signal.aborted) {
-					throw outcomeUnknown(input);
+					return finishAttempt(state.grant, end, delivery);
 				}
 
 				this.#context.retries.increment({step: 'follow', reason: end.reason});
-				await sleep(20);
-			} else {
-				await sleep(state.retryAfterMs);
 			}
 
-			state = await this.#callOwner(input, 'programs.reportLost', {
+			if (signal.aborted) {
+				throw outcomeUnknown(input);
+			}
+
+			await sleep(state.status === 'unsure' ? state.retryAfterMs : 20);
+			state = await this.#reportLost(input, attempt, delivery.text);
+		}
+	}
+
+	/** Asks what follows a lost attempt. The call was granted, so no failure here means `not-run`. */
+	async #reportLost(
+		input: AcceptInput,
+		attempt: number,
+		partial: string,
+	): Promise<CallState> {
+		try {
+			return await this.#callOwner(input, 'programs.reportLost', {
 				accept: input,
 				attempt,
-				partial: delivery.text,
+				partial,
 			});
+		} catch (error) {
+			throw isNotRun(error) ? outcomeUnknown(input, reasonOf(error)) : error;
 		}
 	}
 
@@ -207,54 +212,29 @@
 	): Promise<AttemptEnd> {
 		const fromOffset = delivery.begin(grant.attempt);
 		const timeoutMs = grant.timeoutMs - (performance.now() - receivedMs);
-		return new Promise((resolve) => {
-			let stop: (() => void) | undefined;
-			const finish = (end: AttemptEnd) => {
-				signal.removeEventListener('abort', abandon);
-				stop?.();
-				resolve(end);
-			};
-
-			const lose = (error: unknown) => {
-				finish({type: 'lost', reason: reasonOf(error)});
-			};
-
-			const abandon = () => {
-				finish({type: 'lost', reason: 'caller-gone'});
-			};
-
-			signal.addEventListener('abort', abandon);
-			const subscribe = async () => {
-				try {
-					stop = await this.#peers.subscribe(
-						grant.dispatcherId,
-						'dispatch.run',
-						{grant: {...grant, timeoutMs}, payload, fromOffset},
-						{
-							onData(data) {
-								const event = data as DispatchEvent;
-								if (event.type === 'chunk') {
-									delivery.take(event.offset, event.text);
-								} else {
-									finish(event);
-								}
-							},
-							onError: lose,
-							onComplete() {
-								finish({type: 'lost', reason: 'dispatch-ended'});
-							},
-						},
-					);
-				} catch (error) {
-					lose(error);
-				}
-			};
-
-			void subscribe();
-		});
+		return readAttempt(
+			this.#peers,
+			{grant: {...grant, timeoutMs}, payload, fromOffset},
+			({offset, text}) => {
+				delivery.take(offset, text);
+			},
+			signal,
+		);
 	}
 }
 
+const finishAttempt = (
+	{attempt, turn, kind}: Grant,
+	end: Extract<AttemptEnd, {type: 'final'}>,
+	delivery: Delivery,
+): FollowedCall => {
+	if (end.outcome.status === 'answered' && kind === 'model') {
+		delivery.finish(attempt, end.content);
+	}
+
+	return {...end, attempt, turn};
+};
+
 const finishSettled = (
 	{record, content}: Extract<CallState, {status: 'settled'}>,
 	delivery: Delivery,
@@ -274,11 +254,11 @@
 	};
 };
 
-const outcomeUnknown = (input: AcceptInput) =>
+const outcomeUnknown = (input: AcceptInput, reason = 'call-timeout') =>
 	new MarjoramcoveError(
 		`The outcome of request ${input.requestId} is not known yet.`,
 		{
-			reason: 'call-timeout',
+			reason,
 			verdict: 'may-have-run',
 			hint: `Look it up: GET /v1/programs/${input.programId}/requests/${input.requestId}.`,
 		},
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -31,6 +31,7 @@
 	readonly #dispatcher: DispatcherService;
 	readonly #entry: EntryService;
 	#drained: Promise<void> | undefined;
+	#hasHandedOver = false;
 	#readyTimer: NodeJS.Timeout | undefined;
 
 	constructor(context: DaemonContext, onDrainRequested: () => void) {
@@ -91,53 +92,100 @@
 	}
 
 	async #drainOnce(): Promise<void> {
-		const {logger, settings} = this.#context;
+		const {logger} = this.#context;
 		const startedMs = performance.now();
 		this.#context.phase = 'draining';
 		logger.info({event: 'drain-started'});
 		this.#configuration.heartbeat();
-		let hasHandedOver = false;
 		const handOver = async () => {
 			await this.#replication.handOver();
-			hasHandedOver = true;
+			this.#hasHandedOver = true;
 		};
 
 		void handOver();
-		const {addressTtlMs, drainTimeoutMs} = settings.timing;
+		await this.#waitUntilIdle(startedMs);
+		await this.#kernel.drain();
+		logger.info({
+			event: 'drain-finished',
+			durationMs: Math.round(performance.now() - startedMs),
+		});
+	}
+
+	/** Waits for the work under way, at least as long as callers may use cached addresses. */
+	async #waitUntilIdle(startedMs: number): Promise<void> {
+		const {addressTtlMs, drainTimeoutMs} = this.#context.settings.timing;
 		let nextReportMs = startedMs + drainTimeoutMs;
-		// Callers may use addresses that they cached just before for this time.
-		const serveUntilMs = startedMs + addressTtlMs;
 		for (;;) {
 			const nowMs = performance.now();
 			const left = {
 				requests: this.#entry.activeRequests,
 				runs: this.#dispatcher.activeRuns,
-				leads: !hasHandedOver,
+				leads: !this.#hasHandedOver,
 			};
-			if (
-				nowMs >= serveUntilMs &&
-				left.requests === 0 &&
-				left.runs === 0 &&
-				!left.leads
-			) {
-				break;
+			const isIdle = left.requests === 0 && left.runs === 0 && !left.leads;
+			if (isIdle && nowMs >= startedMs + addressTtlMs) {
+				return;
 			}
 
 			if (nowMs >= nextReportMs) {
 				nextReportMs += drainTimeoutMs;
-				logger.warn({event: 'drain-continues', ...left});
+				this.#context.logger.warn({event: 'drain-continues', ...left});
 			}
 
 			await sleep(drainPollMs);
 		}
+	}
+}
 
-		await this.#kernel.drain();
-		logger.info({
-			event: 'drain-finished',
-			durationMs: Math.round(performance.now() - startedMs),
+/** Passes signals and unexpected errors of the process to the daemon. */
+const handleProcessEvents = (
+	context: DaemonContext,
+	drain: () => Promise<void>,
+): void => {
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void drain();
 		});
 	}
-}
+
+	process.on('unhandledRejection', (error) => {
+		context.logger.error({
+			event: 'unhandled-rejection',
+			error: messageOf(error),
+			stack: error instanceof Error ? error.stack : undefined,
+		});
+	});
+	process.on('uncaughtException', (error) => {
+		context.fail(error);
+	});
+};
+
+/** Starts a daemon; `finish` gets the exit code once it has been drained. */
+const startDaemon = async (
+	context: DaemonContext,
+	finish: (code: number) => Promise<void>,
+): Promise<void> => {
+	let draining: Promise<void> | undefined;
+	const drain = async () => {
+		// A second signal neither shortens nor repeats the drain.
+		draining ??= (async () => {
+			await daemon.drain();
+			await daemon.stop();
+			await finish(0);
+		})();
+		return draining;
+	};
+
+	const daemon = new Daemon(context, () => {
+		void drain();
+	});
+	handleProcessEvents(context, drain);
+	try {
+		await daemon.start();
+	} catch (error) {
+		context.fail(error);
+	}
+};
 
 /**
  * Runs a daemon until it has been drained by SIGTERM or an operator, then resolves with the exit code.
@@ -167,44 +215,6 @@
 			// The state is doubtful: nothing more may be written, so the process does not drain.
 			void finish(1);
 		});
-		let draining: Promise<void> | undefined;
-		const drain = async () => {
-			// A second signal neither shortens nor repeats the drain.
-			draining ??= (async () => {
-				await daemon.drain();
-				await daemon.stop();
-				await finish(0);
-			})();
-			return draining;
-		};
-
-		const daemon = new Daemon(context, () => {
-			void drain();
-		});
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				void drain();
-			});
-		}
-
-		process.on('unhandledRejection', (error) => {
-			logger.error({
-				event: 'unhandled-rejection',
-				error: messageOf(error),
-				stack: error instanceof Error ? error.stack : undefined,
-			});
-		});
-		process.on('uncaughtException', (error) => {
-			context.fail(error);
-		});
-		const start = async () => {
-			try {
-				await daemon.start();
-			} catch (error) {
-				context.fail(error);
-			}
-		};
-
-		void start();
+		void startDaemon(context, finish);
 	});
 };
