Stop the daemons of a cluster whose set-up fails

Five daemons of a run whose set-up timed out were still running: the test bed stopped only its stand-ins when the first change was not accepted, and the wait was longer than the time of the set-up hook. It now gives up after 15 to 20 s and stops everything. An exit handler covers scripts; it does not run in the workers of the test runner (tried with a test that starts a cluster and never stops it).

--- a/packages/test-support/src/bed/test-bed.ts
+++ b/packages/test-support/src/bed/test-bed.ts
@@ -21,6 +21,9 @@
 
 export type ResourceList = {revision: number; resources: PlainResource[]};
 
+// Shorter than the time for the set-up of a test file, so that a failed start stops what it started.
+const START_TIMEOUT_MS = 15_000;
+
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
 /**
@@ -59,7 +62,13 @@
 		try {
 			const cluster = await Cluster.start(options);
 			const bed = new TestBed({cluster, engines, entryDesk, orderDesk});
-			await bed.apply(bed.resources());
+			try {
+				await bed.apply(bed.resources(), START_TIMEOUT_MS);
+			} catch (error) {
+				await bed.stop();
+				throw error;
+			}
+
 			return bed;
 		} catch (error) {
 			await stopStandIns();
@@ -126,6 +135,7 @@
 			baseRevision?: number;
 			operationId?: string;
 			daemonId?: string;
+			timeoutMs?: number;
 		} = {},
 	): Promise<Answer> {
 		const daemonId = options.daemonId ?? this.#anyDaemon();
@@ -136,22 +146,27 @@
 				baseRevision: options.baseRevision ?? current.revision,
 				changes,
 			},
-			timeoutMs: 40_000,
+			timeoutMs: options.timeoutMs ?? 40_000,
 		});
 	}
 
 	/** Applies resources, again when a daemon refuses the change as not run. */
-	async apply(resources: PlainResource[]): Promise<Answer> {
-		return waitFor('the change to be accepted', async () => {
-			const answer = await this.sendChange(
-				resources.map((resource) => ({type: 'apply', resource})),
-			);
-			if (answer.status === 200) {
-				return answer;
-			}
-
-			throw new Error(JSON.stringify(errorOf(answer) ?? answer));
-		});
+	async apply(resources: PlainResource[], timeoutMs = 40_000): Promise<Answer> {
+		return waitFor(
+			'the change to be accepted',
+			async () => {
+				const answer = await this.sendChange(
+					resources.map((resource) => ({type: 'apply', resource})),
+					{timeoutMs},
+				);
+				if (answer.status === 200) {
+					return answer;
+				}
+
+				throw new Error(JSON.stringify(errorOf(answer) ?? answer));
+			},
+			{timeoutMs: Math.min(timeoutMs, 20_000)},
+		);
 	}
 
 	/** Stops callers, daemons and stand-ins. */
--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -132,7 +132,7 @@
 	}
 
 	/** Waits until each running daemon is ready. */
-	async ready(timeoutMs = 40_000): Promise<void> {
+	async ready(timeoutMs = 30_000): Promise<void> {
 		await Promise.all(
 			this.daemons
 				.filter((daemon) => daemon.running)
--- a/packages/test-support/src/cluster/daemon-process.ts
+++ b/packages/test-support/src/cluster/daemon-process.ts
@@ -14,6 +14,16 @@
 /** Options of Node.js in the first line of the daemon's binary. */
 const DAEMON_NODE_OPTIONS = ['--max-semi-space-size=1'];
 
+const children = new Set<ChildProcess>();
+
+// A process that ends without stopping its cluster must not leave daemons behind. The workers of the test
+// runner end without this event; there the set-up stops its cluster itself.
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** How a daemon process ended. */
 export type ExitStatus = {code: number | null; signal: string | null};
 
@@ -71,7 +81,9 @@
 		closeSync(log);
 		this.exitStatus = undefined;
 		this.#child = child;
+		children.add(child);
 		child.once('exit', (code, signal) => {
+			children.delete(child);
 			if (this.#child === child) {
 				this.exitStatus = {code, signal};
 			}
