--- a/packages/demo/src/run-program.ts
+++ b/packages/demo/src/run-program.ts
@@ -59,22 +59,13 @@
 	show(`sub-agent ${child} ended`);
 };
 
-/** Runs the turns of the example program and returns its id. */
-export const runProgram = async (bed: TestBed, show: Show): Promise<string> => {
+/** Charges a fee and sends the same request again, which must not charge it twice. */
+const chargeOnce = async (
+	bed: TestBed,
+	programId: string,
+	show: Show,
+): Promise<void> => {
 	const caller = bed.caller('d4');
-	const programId = await caller.openProgram({
-		labels: {agent: 'entry-coaching'},
-		callerId: 'busan-hall',
-		budget: {tokens: 50_000, turns: 20, wallTimeMs: 60_000},
-	});
-	show(`program ${programId} opened at d4`);
-	await showModelTurn(
-		caller,
-		programId,
-		'Which class fits a delta kite? [tokens=60]',
-		show,
-	);
-	await showToolTurn(caller, programId, ['entry-desk/list-slots', {}], show);
 	const charge = await showToolTurn(
 		caller,
 		programId,
@@ -97,6 +88,25 @@
 	show(
 		'resent charge-fee: the recorded answer came back, the fee is charged once',
 	);
+};
+
+/** Runs the turns of the example program and returns its id. */
+export const runProgram = async (bed: TestBed, show: Show): Promise<string> => {
+	const caller = bed.caller('d4');
+	const programId = await caller.openProgram({
+		labels: {agent: 'entry-coaching'},
+		callerId: 'busan-hall',
+		budget: {tokens: 50_000, turns: 20, wallTimeMs: 60_000},
+	});
+	show(`program ${programId} opened at d4`);
+	await showModelTurn(
+		caller,
+		programId,
+		'Which class fits a delta kite? [tokens=60]',
+		show,
+	);
+	await showToolTurn(caller, programId, ['entry-desk/list-slots', {}], show);
+	await chargeOnce(bed, programId, show);
 	await caller.pauseProgram(programId, PAUSE_MS);
 	show(`pause of ${PAUSE_MS} ms`);
 	await sleep(PAUSE_MS);
--- a/packages/test-support/src/engine/model-engine.ts
+++ b/packages/test-support/src/engine/model-engine.ts
@@ -149,7 +149,17 @@
 			})
 			.delete('/v1/streams/:id', (request, response) => {
 				this.#cancel(readParameter(request, 'id'), response);
-			})
+			});
+		this.#routeOrders(app);
+		routeMemory(app, {
+			memory: () => this.#memory,
+			options: this.options,
+			readLoad: () => this.#laggingLoad(),
+		});
+	}
+
+	#routeOrders(app: Polka): void {
+		app
 			.get('/healthz', (_request, response) => {
 				sendJson(response, 200, {status: this.leaving ? 'leaving' : 'ready'});
 			})
@@ -169,11 +179,6 @@
 					sendJson(response, outcome.status, outcome.body);
 				}),
 			);
-		routeMemory(app, {
-			memory: () => this.#memory,
-			options: this.options,
-			readLoad: () => this.#laggingLoad(),
-		});
 	}
 
 	async #complete(
