Leave the retry of a lost attempt to its entry daemon

Cause: the owner's own check of open calls retried a lost attempt without the text that the caller already had, when it saw the loss before the entry daemon reported it. Seen in one full run of npm test: i4, dispatcher frozen in mid-stream, expected restarted false, received true. Ruled out: asking the entry daemon for its text from the owner, which needs one more message and still has to wait when the entry daemon is gone. Conclusion: the owner continues an idempotent call only when its loss has gone unreported for two link timeouts.

--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -92,6 +92,12 @@
 		}
 	}
 
+	/** Whether the attempt will not settle by itself. */
+	async isLost(call: OpenCallDescription): Promise<boolean> {
+		const finding = await this.#inspect(call);
+		return !['queued', 'sent', 'settled', 'unsure'].includes(finding);
+	}
+
 	/** What the dispatcher knows of the attempt; `gone` when its incarnation has ended. */
 	async #inspect(call: OpenCallDescription): Promise<Finding> {
 		const {dispatcherId, dispatcherIncarnation} = call;
--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -1,5 +1,6 @@
 import {
 	type CancelledCall,
+	type OpenCallDescription,
 	openCarves,
 	openIntents,
 	pendingReleases,
@@ -21,6 +22,8 @@
 /** Age from which a carved budget without a sub-agent is given back. */
 const carveCheckMs = 30_000;
 const releaseTimeoutMs = 2000;
+/** Link timeouts after which a lost attempt that nobody reported is continued without a reader. */
+const abandonedLinkTimeouts = 2;
 /** Longest time for which the log of a shard with programs carries no new time. */
 const clockEntryIntervalMs = 60_000;
 const longestReleaseDelayMs = 10_000;
@@ -36,6 +39,8 @@
 	readonly #releases = new PQueue({concurrency: 16});
 	readonly #releaseAttempts = new Map<string, ReleaseAttempt>();
 	readonly #checkedMs = new Map<string, number>();
+	/** Time since which an attempt is known to be lost, by attempt. */
+	readonly #lostSinceMs = new Map<string, number>();
 	readonly #carvesSeenMs = new Map<ProgramId, number>();
 	#running = false;
 
@@ -202,6 +207,7 @@
 		});
 		if (this.#checkedMs.size > 10_000) {
 			this.#checkedMs.clear();
+			this.#lostSinceMs.clear();
 		}
 
 		await Promise.all(
@@ -209,13 +215,32 @@
 				const input = this.#inputs.get(`${call.programId}:${call.requestId}`);
 				if (!call.idempotent) {
 					await this.#recovery.settleLost(call);
-				} else if (input) {
+				} else if (input && (await this.#isAbandoned(call))) {
 					await this.#continueCall(input, call.intent.attempt);
 				}
 			}),
 		);
 	}
 
+	/**
+	 * Whether an attempt has been lost for so long that its entry daemon must be gone as well. A live
+	 * one reports the loss within the link timeout, together with the text that it has delivered; a
+	 * retry without that text would give the caller an answer that does not continue it.
+	 */
+	async #isAbandoned(call: OpenCallDescription): Promise<boolean> {
+		const key = attemptKey({...call, attempt: call.intent.attempt});
+		if (!(await this.#recovery.isLost(call))) {
+			this.#lostSinceMs.delete(key);
+			return false;
+		}
+
+		const nowMs = performance.now();
+		const sinceMs = this.#lostSinceMs.get(key) ?? nowMs;
+		this.#lostSinceMs.set(key, sinceMs);
+		const {linkTimeoutMs} = this.#core.context.settings.timing;
+		return nowMs - sinceMs > abandonedLinkTimeouts * linkTimeoutMs;
+	}
+
 	/** Recovers a call whose entry daemon may be gone; the dispatcher then runs without a reader. */
 	async #continueCall(input: AcceptInput, attempt: number): Promise<void> {
 		const state = await this.#recovery.recover(input, attempt, '');
