--- a/packages/cli/src/commands/get.ts
+++ b/packages/cli/src/commands/get.ts
@@ -38,6 +38,17 @@
 	return JSON.stringify(spec);
 };
 
+const formatResources = (resources: AnyResource[]): string =>
+	formatTable(
+		[
+			['KIND', (row) => row.kind],
+			['NAME', (row) => row.name],
+			['LABELS', (row) => row.labels],
+			['SPEC', describeSpec],
+		],
+		resources,
+	);
+
 /** Shows resources as a table, YAML (which apply accepts) or JSON. */
 export const getResources = async (
 	context: CommandContext,
@@ -71,16 +82,7 @@
 		context,
 		argv,
 		{...answer, resources},
-		() =>
-			`${formatTable(
-				[
-					['KIND', (row) => row.kind],
-					['NAME', (row) => row.name],
-					['LABELS', (row) => row.labels],
-					['SPEC', describeSpec],
-				],
-				resources,
-			)}Revision ${answer.revision}.\n`,
+		() => `${formatResources(resources)}Revision ${answer.revision}.\n`,
 	);
 };
 
--- a/packages/cli/src/commands/operator-commands.ts
+++ b/packages/cli/src/commands/operator-commands.ts
@@ -54,7 +54,16 @@
 					.positional('what', {choices: listTargets, demandOption: true})
 					.positional('name', {type: 'string', demandOption: true}),
 			async (argv) => describeEntry(context, argv),
-		)
+		);
+	addMaintenance(parser, context);
+	addReplication(parser, context);
+};
+
+const addMaintenance = (
+	parser: Argv<CommonArguments>,
+	context: CommandContext,
+): void => {
+	parser
 		.command(
 			'drain <daemon>',
 			'stop a daemon after its work is finished',
@@ -87,5 +96,4 @@
 					.option('timeout-ms', timeoutOption),
 			async (argv) => replaceReplicas(context, argv),
 		);
-	addReplication(parser, context);
 };
--- a/packages/cli/src/commands/resource-commands.ts
+++ b/packages/cli/src/commands/resource-commands.ts
@@ -49,7 +49,15 @@
 					.option('file', {...fileOption, demandOption: true})
 					.option('prune', pruneOption),
 			async (argv) => diffFiles(context, argv),
-		)
+		);
+	addReadAndDelete(parser, context);
+};
+
+const addReadAndDelete = (
+	parser: Argv<CommonArguments>,
+	context: CommandContext,
+): void => {
+	parser
 		.command(
 			'get [kind] [name]',
 			'show resources',
