Refuse to replace a daemon by itself while only its old disk is known

Cause: right after a daemon returns with an empty disk its leader may still know the old one, found the disk among the voters and answered 200 without a repair (seen by the integration tests, which had to repeat the order). Ruled out: telling the two cases apart in the leader; the announcement of the new disk is the only evidence.

--- a/packages/consensus/src/plan-replica-change.ts
+++ b/packages/consensus/src/plan-replica-change.ts
@@ -1,6 +1,6 @@
 import {RefusedError} from '@marjoramcove/errors';
 import type {DaemonId, DiskId} from '@marjoramcove/types';
-import {findReplica, type MembershipChange} from './membership.ts';
+import {findReplica, isVoter, type MembershipChange} from './membership.ts';
 import {currentMembership} from './raft-state.ts';
 import type {RaftState} from './raft-types.ts';
 import type {ReplicaChange} from './replica-options.ts';
@@ -41,7 +41,23 @@
 		(voter) =>
 			voter.daemonId === change.lostDaemonId && voter.diskId !== diskId,
 	);
-	if (findReplica(membership, diskId)) {
+	const known = findReplica(membership, diskId);
+	if (known) {
+		if (
+			change.newDaemonId === change.lostDaemonId &&
+			isVoter(membership, diskId) &&
+			known.replaces === undefined
+		) {
+			// The group may still know only the lost disk; success would mislead the operator.
+			throw new RefusedError(
+				`The known disk ${diskId} of daemon ${change.lostDaemonId} is a voter.`,
+				{
+					reason: 'nothing-to-replace',
+					hint: 'If the daemon came back with an empty disk, send the order again when the disk is listed.',
+				},
+			);
+		}
+
 		return undefined;
 	}
 
--- a/packages/consensus/src/replica-host.test.ts
+++ b/packages/consensus/src/replica-host.test.ts
@@ -212,6 +212,19 @@
 		).rejects.toMatchObject({reason: 'disk-unknown', verdict: 'not-run'});
 	});
 
+	it('refuses to replace a daemon by itself while only its voting disk is known (failure: an operator is told that a repair has begun)', async () => {
+		const leader = await trio.leader();
+		await expect(
+			trio.during(
+				leader.changeReplicas(groupId, {
+					type: 'replace',
+					lostDaemonId: ids[1]!,
+					newDaemonId: ids[1]!,
+				}),
+			),
+		).rejects.toMatchObject({reason: 'nothing-to-replace', verdict: 'not-run'});
+	});
+
 	it('reports proposals as not run at a follower and as unknown after a lost leadership', async () => {
 		const leader = await trio.leader();
 		const follower = [...trio.hosts.values()].find((host) => host !== leader)!;
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -18,6 +18,9 @@
 	ProgramsMachine,
 } from './state-machines.ts';
 
+/** Refusals of a replacement that end when the new disk has announced itself. */
+const unannouncedReasons = new Set(['disk-unknown', 'nothing-to-replace']);
+
 export const configGroup = asId<GroupId>('config');
 
 /** Group of a shard. */
@@ -238,7 +241,7 @@
 				return;
 			} catch (error) {
 				if (
-					reasonOf(error) !== 'disk-unknown' ||
+					!unannouncedReasons.has(reasonOf(error)) ||
 					performance.now() >= deadlineMs
 				) {
 					throw error;
