Hold calls back that do not fit into the memory of an engine

Cause: the daemon sent as many calls as an engine has slots, although their prompts evict the prefixes of paused programs; the experiments use hasRoom, the daemon did not. Ruled out: counting memory as slots, because prompts differ by two orders of magnitude. Conclusion: a gate behind the queue of each engine uses the same function. Admission gets priority and deadline, tuning is a setting, and the scenario control measures with the default timings instead of the short ones of the tests.

--- a/packages/daemon/src/dispatcher/engine-queue.ts
+++ b/packages/daemon/src/dispatcher/engine-queue.ts
@@ -9,6 +9,7 @@
 	readTuning,
 	recordService,
 } from '@marjoramcove/scheduler';
+import {MemoryGate} from './memory-gate.ts';
 import PQueue, {type Queue, type QueueAddOptions} from 'p-queue';
 
 type Run = () => Promise<unknown>;
@@ -17,10 +18,14 @@
 
 /** Queue of one upstream in the order of the scheduler. */
 class ScheduledQueue implements Queue<Run, CallOptions> {
-	static policy: PolicySettings = {latencyWeight: 1, cacheWeight: 1};
+	readonly #policy: PolicySettings;
 	#entries: Entry[] = [];
 	#services: CallerService = createCallerService();
 
+	constructor(policy: PolicySettings) {
+		this.#policy = policy;
+	}
+
 	get size(): number {
 		return this.#entries.length;
 	}
@@ -37,7 +42,7 @@
 		const next = pickNext(
 			this.#entries.map(({call}) => call),
 			performance.now(),
-			ScheduledQueue.policy,
+			this.#policy,
 		);
 		const entry =
 			this.#entries.find(({call}) => call === next) ?? this.#entries[0];
@@ -64,7 +69,7 @@
 				prefillTokens: Math.max(0, call.promptTokens - call.cachedTokens),
 				completionTokens: call.expectedCompletionTokens,
 			},
-			readTuning(ScheduledQueue.policy),
+			readTuning(this.#policy),
 		);
 		const waiting = this.#entries.map(({call: other}) =>
 			readService(this.#services, other.callerId),
@@ -78,15 +83,25 @@
 	}
 }
 
-/** Sends at most `slots` calls at a time to one upstream; the others wait here. */
+/** Sends at most `slots` calls at a time to one upstream, and no more than its memory takes. */
 export class EngineQueue {
 	readonly #queue: PQueue<ScheduledQueue, CallOptions>;
-
-	constructor(slots: number, policy: PolicySettings) {
-		ScheduledQueue.policy = policy;
+	readonly #gate: MemoryGate;
+
+	/** @param capacityTokens - cache of the upstream; 0 while it is not known or for a plain service. */
+	constructor(
+		slots: number,
+		policy: PolicySettings,
+		capacityTokens: () => number,
+	) {
+		this.#gate = new MemoryGate(policy, capacityTokens);
 		this.#queue = new PQueue<ScheduledQueue, CallOptions>({
 			concurrency: Math.max(1, slots),
-			queueClass: ScheduledQueue,
+			queueClass: class extends ScheduledQueue {
+				constructor() {
+					super(policy);
+				}
+			},
 		});
 	}
 
@@ -110,6 +125,6 @@
 		call: QueuedCall,
 		task: () => Promise<Result>,
 	): Promise<Result> {
-		return this.#queue.add(task, {call});
+		return this.#queue.add(async () => this.#gate.run(call, task), {call});
 	}
 }
--- a/packages/daemon/src/owner/admit-model-call.ts
+++ b/packages/daemon/src/owner/admit-model-call.ts
@@ -52,8 +52,12 @@
 			programId: program.programId,
 			callerId: program.callerId as CallerId,
 			isNewProgram: program.nextTurn === 1,
+			deadlineMs: program.deadlineMs,
+			priority:
+				core.configuration.view.selectorsFor(program.labels)[0]?.spec
+					.priority ?? 0,
 		},
-		Date.now(),
+		core.commandTimeMs(program.programId),
 		core.context.settings.policy,
 	);
 	if (!decision.admitted) {
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -276,7 +276,11 @@
 	#queueOf({name, spec}: UpstreamResource): EngineQueue {
 		let queue = this.#queues.get(name);
 		if (!queue) {
-			queue = new EngineQueue(spec.slots, this.#context.settings.policy);
+			queue = new EngineQueue(
+				spec.slots,
+				this.#context.settings.policy,
+				() => this.#upstreams.load(name).kvCapacityTokens,
+			);
 			this.#queues.set(name, queue);
 		}
 
--- a/packages/measure/src/run-control.ts
+++ b/packages/measure/src/run-control.ts
@@ -11,6 +11,21 @@
 const SAMPLE_MS = 10_000;
 const ANSWER_TOKENS = 16;
 
+/** The defaults of the daemon; the launcher's own timings are short, for tests. */
+const DEFAULT_TIMING = {
+	heartbeatMs: 1000,
+	electionTimeoutMinMs: 1000,
+	electionTimeoutMaxMs: 2000,
+	configurationLeaseMs: 5000,
+	streamSilenceMs: 5000,
+	linkHeartbeatMs: 1000,
+	linkTimeoutMs: 3000,
+	requestTimeoutMs: 10_000,
+	openIntentSweepMs: 1000,
+	healthCheckMs: 1000,
+	callerHeartbeatMs: 5000,
+};
+
 export const CONTROL_COLUMNS = [
 	'scenario',
 	'load',
@@ -101,7 +116,11 @@
 	});
 
 const measureIdle = async (daemons: number, seed: number): Promise<Row[]> => {
-	const bed = await TestBed.start({daemonCount: daemons, engineCount: 2});
+	const bed = await TestBed.start({
+		daemonCount: daemons,
+		engineCount: 2,
+		settings: {timing: DEFAULT_TIMING},
+	});
 	try {
 		await sleep(SETTLE_MS);
 		const samples = await sampleDaemons(bed, async () => sleep(SAMPLE_MS));
@@ -156,6 +175,7 @@
 	const bed = await TestBed.start({
 		daemonCount: LOADED_DAEMONS,
 		engineCount: 4,
+		settings: {timing: DEFAULT_TIMING},
 		engineOptions: {
 			prefillTokensPerSecond: 1_000_000,
 			decodeTokensPerSecond: 1000,
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -81,6 +81,26 @@
 	wallTimeMs: durationSchema.default(3_600_000),
 });
 
+const factorSchema = z.number().positive().max(1_000_000);
+
+/** Constants of the policy; their meaning and defaults are in the scheduler's `PolicyTuning`. */
+const tuningSchema = z.strictObject({
+	prefillMsPerToken: factorSchema.optional(),
+	decodeMsPerToken: factorSchema.optional(),
+	stepMs: factorSchema.optional(),
+	zoneDelayMs: factorSchema.optional(),
+	sampledEngines: z.int().min(1).max(64).optional(),
+	starvationMs: durationSchema.optional(),
+	fairnessSlackMs: durationSchema.optional(),
+	admissionWaitMs: durationSchema.optional(),
+	overloadWaitMs: durationSchema.optional(),
+	admissionCacheShare: factorSchema.optional(),
+	transferMsPerToken: factorSchema.optional(),
+	staleReportMs: durationSchema.optional(),
+	runningCacheShare: z.number().positive().max(1).optional(),
+	retentionCacheShare: z.number().positive().max(1).optional(),
+});
+
 /** Schema of the settings file of a daemon. */
 export const settingsSchema = z.strictObject({
 	daemonId: daemonIdSchema,
@@ -117,6 +137,7 @@
 		.strictObject({
 			latencyWeight: z.number().min(0).max(100).default(1),
 			cacheWeight: z.number().min(0).max(100).default(1),
+			tuning: tuningSchema.optional(),
 		})
 		.prefault({}),
 	logs: z
