--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -31,6 +31,7 @@
 export {type ProxyDirection, TcpProxy} from './tcp-proxy.ts';
 export {type ListedVm, VmList} from './vm-list.ts';
 export {waitFor} from './wait-for.ts';
+export {runReadmeExample} from './run-readme-example.ts';
 export {WeightStore} from './weight-store.ts';
 export {
 	type Answer,
