--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -145,7 +145,7 @@
 		deadlineMs: request.program.deadlineMs,
 	};
 	const pick = (from: EngineView[]) =>
-		chooseEngine(routing, from, performance.now(), policy, Math.random);
+		chooseEngine(routing, from, policy, Math.random);
 	return pick(candidates) ?? pick(views);
 };
 
--- a/packages/measure/src/marjoramcove-policy.ts
+++ b/packages/measure/src/marjoramcove-policy.ts
@@ -77,7 +77,7 @@
 	}
 
 	override route(context: RoutingContext): number | undefined {
-		const {request, view, nowMs, random} = context;
+		const {request, view, random} = context;
 		const hasAffinity = this.#without !== 'affinity';
 		const cachedEngine = hasAffinity ? context.cachedEngine : undefined;
 		const directory = {
@@ -94,13 +94,13 @@
 			views.push(directory.viewAt(cachedEngine));
 		}
 
-		let chosen = chooseEngine(request, views, nowMs, this.#settings, random);
+		let chosen = chooseEngine(request, views, this.#settings, random);
 		if (!chosen && views.length < view.count) {
 			// All sampled engines were leaving or unhealthy: look at each one.
 			const all = Array.from({length: view.count}, (_, engine) =>
 				directory.viewAt(engine),
 			);
-			chosen = chooseEngine(request, all, nowMs, this.#settings, random);
+			chosen = chooseEngine(request, all, this.#settings, random);
 		}
 
 		return chosen && view.positionOf(chosen.upstreamId);
--- a/packages/measure/src/run-target.ts
+++ b/packages/measure/src/run-target.ts
@@ -195,7 +195,7 @@
 	const cachedOn = [program.previous.upstreamId];
 	const shortList = sampleViews(directory, cachedOn, SETTINGS, draws.next);
 	const request = {...toQueued(program, NOW_MS), zone};
-	chooseEngine(request, shortList, NOW_MS, SETTINGS, draws.next);
+	chooseEngine(request, shortList, SETTINGS, draws.next);
 };
 
 /** Order, room, fairness and retention, as the dispatcher of an engine decides. */
--- a/packages/scheduler/src/choose-engine.ts
+++ b/packages/scheduler/src/choose-engine.ts
@@ -79,13 +79,12 @@
  *
  * @example
  * ```ts
- * const view = chooseEngine(request, views, nowMs, settings, Math.random);
+ * const view = chooseEngine(request, views, settings, Math.random);
  * ```
  */
 export const chooseEngine = (
 	request: RoutingRequest,
 	views: readonly EngineView[],
-	nowMs: number,
 	settings: PolicySettings,
 	random: RandomSource,
 ): EngineView | undefined => {
--- a/packages/scheduler/src/readme.test.ts
+++ b/packages/scheduler/src/readme.test.ts
@@ -53,13 +53,7 @@
 		settings,
 		Math.random,
 	);
-	const view = chooseEngine(
-		request,
-		shortList,
-		Date.now(),
-		settings,
-		Math.random,
-	);
+	const view = chooseEngine(request, shortList, settings, Math.random);
 	const call = pickNext([waitingCall], Date.now(), settings);
 
 	expect(view?.upstreamId).toBe('engine-1');
--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -95,14 +95,14 @@
 				fc.array(viewArbitrary),
 				fc.double({min: 0, max: 0.99, noNaN: true}),
 				(views, draw) => {
-					const chosen = chooseEngine(request, views, 0, settings, () => draw);
+					const chosen = chooseEngine(request, views, settings, () => draw);
 					expect(chosen === undefined).toBe(
 						!views.some((view) => isEligible(view)),
 					);
 					expect(
 						chosen === undefined || (chosen.healthy && !chosen.leaving),
 					).toBe(true);
-					expect(chooseEngine(request, views, 0, settings, () => draw)).toBe(
+					expect(chooseEngine(request, views, settings, () => draw)).toBe(
 						chosen,
 					);
 				},
