--- a/packages/integration/src/i5-configuration.test.ts
+++ b/packages/integration/src/i5-configuration.test.ts
@@ -23,6 +23,7 @@
 			proxied: true,
 			...(isFaultInjected('endless-lease') && {
 				settings: {timing: {configurationLeaseMs: 35_000}},
+				startTimeoutMs: 50_000,
 			}),
 		});
 	});
--- a/packages/test-support/src/bed/test-bed.ts
+++ b/packages/test-support/src/bed/test-bed.ts
@@ -15,6 +15,8 @@
 export type TestBedOptions = ClusterOptions & {
 	engineCount?: number;
 	engineOptions?: Partial<EngineOptions>;
+	/** Time until the resources are in force; at least one configuration lease. */
+	startTimeoutMs?: number;
 	/** Other options for single engines, by position. */
 	perEngine?: Array<Partial<EngineOptions>>;
 };
@@ -63,7 +65,10 @@
 			const cluster = await Cluster.start(options);
 			const bed = new TestBed({cluster, engines, entryDesk, orderDesk});
 			try {
-				await bed.apply(bed.resources(), START_TIMEOUT_MS);
+				await bed.apply(
+					bed.resources(),
+					options.startTimeoutMs ?? START_TIMEOUT_MS,
+				);
 			} catch (error) {
 				await bed.stop();
 				throw error;
