Name two pieces that stood several times

Ruled out: one reader type for streamed and whole answers; only the whole ones are alike. Conclusion: behaviour is unchanged.

--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -9,7 +9,11 @@
 } from '../call-contracts.ts';
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {messageMarker} from '../dispatcher/run-model-call.ts';
-import type {FollowedCall, ResumePosition} from './call-follower.ts';
+import type {
+	AnswerReader,
+	FollowedCall,
+	ResumePosition,
+} from './call-follower.ts';
 import {checkRequestId, type EntryCore, hashRequest} from './entry-core.ts';
 import {
 	type Handler,
@@ -241,23 +245,24 @@
 		}
 	};
 
+/** Reader of an answer that is sent whole at its end, so that it has nothing to take back. */
+const wholeAnswer: AnswerReader = {
+	onText() {
+		// The end of the call brings the whole text.
+	},
+	onRestart() {
+		// Nothing was sent.
+	},
+};
+
 const answerCompletion = async (
 	core: EntryCore,
 	response: ServerResponse,
 	input: AcceptInput,
 ): Promise<void> => {
-	const call = await core.follower.follow(
-		input,
-		{
-			onText() {
-				// The whole answer is sent at the end.
-			},
-			onRestart() {
-				// Nothing was sent.
-			},
-		},
-		{signal: callerSignal(response)},
-	);
+	const call = await core.follower.follow(input, wholeAnswer, {
+		signal: callerSignal(response),
+	});
 	if (call.outcome.status === 'failed') {
 		throw failedCall(call.outcome, input);
 	}
@@ -334,18 +339,9 @@
 			timeoutMs: core.context.settings.timing.toolCallTimeoutMs,
 		});
 		try {
-			const call = await core.follower.follow(
-				input,
-				{
-					onText() {
-						// The answer of a tool is sent whole.
-					},
-					onRestart() {
-						// Nothing was sent.
-					},
-				},
-				{signal: callerSignal(response)},
-			);
+			const call = await core.follower.follow(input, wholeAnswer, {
+				signal: callerSignal(response),
+			});
 			if (call.outcome.status === 'failed') {
 				throw failedCall(call.outcome, input);
 			}
--- a/packages/programs/src/accept-call.ts
+++ b/packages/programs/src/accept-call.ts
@@ -19,6 +19,7 @@
 	type CommandOf,
 	refuse,
 	type StepContext,
+	refuseUnknown,
 } from './step-context.ts';
 import {HISTORY_ROLES, internText} from './text-table.ts';
 
@@ -236,7 +237,7 @@
 	if (!program) {
 		// The program may have ended and been dropped, so the request may have run.
 		return {
-			...refuse('program-unknown', `No program ${command.programId} is known.`),
+			...refuseUnknown(command.programId),
 			verdict: 'may-have-run',
 		};
 	}
--- a/packages/programs/src/carve-budget.ts
+++ b/packages/programs/src/carve-budget.ts
@@ -1,7 +1,12 @@
 import {freeTokens, freeTurns, isAmount} from './budget.ts';
 import type {ProgramResult} from './results.ts';
 import type {Carve, Program} from './state.ts';
-import {type CommandOf, refuse, type StepContext} from './step-context.ts';
+import {
+	type CommandOf,
+	refuse,
+	type StepContext,
+	refuseUnknown,
+} from './step-context.ts';
 
 type CarveBudget = CommandOf<'carve-budget'>;
 
@@ -84,10 +89,7 @@
 ): ProgramResult => {
 	const program = context.state.programs.get(command.programId);
 	if (!program) {
-		return refuse(
-			'program-unknown',
-			`No program ${command.programId} is known.`,
-		);
+		return refuseUnknown(command.programId);
 	}
 
 	const leftMs = Math.min(
--- a/packages/programs/src/end-program.ts
+++ b/packages/programs/src/end-program.ts
@@ -2,7 +2,7 @@
 	type CommandOf,
 	type StepContext,
 	appendHistory,
-	refuse,
+	refuseUnknown,
 } from './step-context.ts';
 import {
 	appendRecord,
@@ -87,10 +87,7 @@
 ): ProgramResult => {
 	const program = context.state.programs.get(command.programId);
 	if (!program) {
-		return refuse(
-			'program-unknown',
-			`No program ${command.programId} is known.`,
-		);
+		return refuseUnknown(command.programId);
 	}
 
 	if (program.endedReason !== undefined) {
--- a/packages/programs/src/retry-call.ts
+++ b/packages/programs/src/retry-call.ts
@@ -3,7 +3,12 @@
 import {renewHold} from './renew-hold.ts';
 import type {ProgramResult} from './results.ts';
 import {type OpenCall, type Program, shareIntent} from './state.ts';
-import {type CommandOf, refuse, type StepContext} from './step-context.ts';
+import {
+	type CommandOf,
+	refuse,
+	type StepContext,
+	refuseUnknown,
+} from './step-context.ts';
 
 const findRefusal = (
 	context: StepContext,
@@ -60,10 +65,7 @@
 ): ProgramResult => {
 	const program = context.state.programs.get(command.programId);
 	if (!program) {
-		return refuse(
-			'program-unknown',
-			`No program ${command.programId} is known.`,
-		);
+		return refuseUnknown(command.programId);
 	}
 
 	const {call} = program;
--- a/packages/programs/src/settle-call.ts
+++ b/packages/programs/src/settle-call.ts
@@ -14,6 +14,7 @@
 	type CommandOf,
 	refuse,
 	type StepContext,
+	refuseUnknown,
 } from './step-context.ts';
 import {HISTORY_ROLES, internText} from './text-table.ts';
 
@@ -134,10 +135,7 @@
 ): ProgramResult => {
 	const program = context.state.programs.get(command.programId);
 	if (!program) {
-		return refuse(
-			'program-unknown',
-			`No program ${command.programId} is known.`,
-		);
+		return refuseUnknown(command.programId);
 	}
 
 	const {call} = program;
--- a/packages/programs/src/step-context.ts
+++ b/packages/programs/src/step-context.ts
@@ -1,3 +1,4 @@
+import type {ProgramId} from '@marjoramcove/types';
 import type {HistoryText, ProgramCommand} from './commands.ts';
 import {appendEntry, countEntries} from './history-entries.ts';
 import type {ProgramRefusalReason, ProgramResult} from './results.ts';
@@ -47,3 +48,9 @@
 	context.appended.push(text);
 	return countEntries(program.entries) - 1;
 };
+
+/** Refusal of a command for a program that this shard does not know. */
+export const refuseUnknown = (
+	programId: ProgramId,
+): ReturnType<typeof refuse> =>
+	refuse('program-unknown', `No program ${programId} is known.`);
