Make the refusal to replace a voter by itself independent of the leader

Cause: the test asked the leader to replace daemon b by itself and expected nothing-to-replace. A leader knows the disk of another daemon only when that daemon announced itself to it, which it does at its start and while it hears no leader. When c or b itself was elected first, the leader had not heard b and refused with disk-unknown.

Ruled out: a fault of the host. Both refusals are not-run and start nothing; the leader cannot know a disk that never announced itself to it.

Now: the test restarts a follower after the election, so that it announces its voting disk to the leader in every case; the expected refusal is unchanged.

Before: failed by chance of the first election.

--- a/packages/consensus/src/replica-host.test.ts
+++ b/packages/consensus/src/replica-host.test.ts
@@ -214,12 +214,18 @@
 
 	it('refuses to replace a daemon by itself while only its voting disk is known (failure: an operator is told that a repair has begun)', async () => {
 		const leader = await trio.leader();
+		// A daemon announces its disk to those that are up when it starts and hears no leader yet.
+		const voterId = ids.find((id) => id !== leader.daemonId)!;
+		trio.kill(voterId);
+		await trio.start(voterId);
+		await trio.proposeMany(1);
+		await trio.awaitEqual(1);
 		await expect(
 			trio.during(
 				leader.changeReplicas(groupId, {
 					type: 'replace',
-					lostDaemonId: ids[1]!,
-					newDaemonId: ids[1]!,
+					lostDaemonId: voterId,
+					newDaemonId: voterId,
 				}),
 			),
 		).rejects.toMatchObject({reason: 'nothing-to-replace', verdict: 'not-run'});
