Check answers against the record and read again after a missing chunk

Cause: the delivery of an answer trusted the offsets of chunks. A chunk with text missing before it was appended all the same, an older chunk that came twice cut off text that was known, and text that arrived after the end of a stream was taken for text of the next attempt.

Now: `AnswerDelivery` (a file of its own) skips text that it has, reports a gap, so that the attempt is read again from the last known offset, and asserts at the end that the caller has the recorded answer and nothing else. `readAttempt` ignores text after the end of its stream. While the caller has exactly the text of the attempt, a chunk is appended without a comparison with the whole text.

Ruled out: the links of today, WebSockets over TCP, do not reorder or lose chunks by themselves, so no caller is known to have got a wrong text.

--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -12,17 +12,13 @@
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
+import {
+	AnswerDelivery,
+	type AnswerReader,
+	type ResumePosition,
+} from './answer-delivery.ts';
 import {type AttemptEnd, readAttempt} from './read-attempt.ts';
 
-/** Receives the answer while it arrives. */
-export type AnswerReader = {
-	/** The call was granted; an error can no longer be a refusal. */
-	onGranted?: () => void;
-	onText: (text: string, position: {attempt: number; offset: number}) => void;
-	/** The text delivered so far is not part of the answer. */
-	onRestart: () => void;
-};
-
 /** End of a followed call. */
 export type FollowedCall = {
 	outcome: CallOutcome;
@@ -34,97 +30,28 @@
 	usage?: Usage;
 };
 
-/** Position from which a caller continues an answer. */
-export type ResumePosition = {attempt: number; offset: number};
-
 type Attempt = {grant: Grant; payload: CallPayload; receivedMs: number};
 
 const followGraceMs = 30_000;
 
-/** Text that the caller has, over all attempts of one call. */
-class Delivery {
-	text = '';
-	readonly #reader: AnswerReader;
-	#resume: ResumePosition | undefined;
-	#attempt = 0;
-	#attemptText = '';
-
-	constructor(reader: AnswerReader, resume: ResumePosition | undefined) {
-		this.#reader = reader;
-		this.#resume = resume;
-	}
-
-	/** Begins an attempt and returns the offset from which its text is needed. */
-	begin(attempt: number): number {
-		if (this.#resume && this.#resume.attempt !== attempt) {
-			this.#resume = undefined;
-			this.#reader.onRestart();
-		}
-
-		if (this.#attempt !== attempt) {
-			this.#attempt = attempt;
-			this.#attemptText = '';
-		}
-
-		return this.#attemptText.length;
-	}
-
-	/** Takes text at an offset of the current attempt. */
-	take(offset: number, text: string): void {
-		this.#attemptText = this.#attemptText.slice(0, offset) + text;
-		this.#deliver(this.#attemptText);
-	}
-
-	/** Takes the whole recorded answer; nothing but it may have been delivered. */
-	finish(attempt: number, content: string): void {
-		this.begin(attempt);
-		if (this.text.length > content.length) {
-			this.#reader.onRestart();
-			this.text = '';
-		}
-
-		this.#deliver(content);
-	}
-
-	#deliver(full: string): void {
-		if (this.#resume) {
-			if (full.length < this.#resume.offset) {
-				return;
-			}
-
-			this.text = full.slice(0, this.#resume.offset);
-			this.#resume = undefined;
-		}
-
-		if (this.text.startsWith(full)) {
-			return;
-		}
-
-		if (!full.startsWith(this.text)) {
-			this.#reader.onRestart();
-			this.text = '';
-		}
-
-		const fresh = full.slice(this.text.length);
-		this.text = full;
-		this.#reader.onText(fresh, {attempt: this.#attempt, offset: full.length});
-	}
-}
-
 /** Brings a call from the entry daemon to its end: accept, dispatch, and recovery of lost attempts. */
 export class CallFollower {
 	readonly #context: DaemonContext;
 	readonly #groups: GroupClientService;
 	readonly #peers: PeersService;
+	readonly #wait: (delayMs: number) => Promise<unknown>;
 
+	/** The last parameter lets randomised tests run in virtual time. */
 	constructor(
 		context: DaemonContext,
 		groups: GroupClientService,
 		peers: PeersService,
+		wait: (delayMs: number) => Promise<unknown> = sleep,
 	) {
 		this.#context = context;
 		this.#groups = groups;
 		this.#peers = peers;
+		this.#wait = wait;
 	}
 
 	/**
@@ -137,7 +64,7 @@
 		reader: AnswerReader,
 		{signal, resume}: {signal: AbortSignal; resume?: ResumePosition},
 	): Promise<FollowedCall> {
-		const delivery = new Delivery(reader, resume);
+		const delivery = new AnswerDelivery(reader, resume);
 		const endMs = performance.now() + 2 * input.timeoutMs + followGraceMs;
 		let state = await this.#callOwner(input, 'programs.accept', input);
 		reader.onGranted?.();
@@ -169,7 +96,7 @@
 				throw outcomeUnknown(input);
 			}
 
-			await sleep(state.status === 'unsure' ? state.retryAfterMs : 20);
+			await this.#wait(state.status === 'unsure' ? state.retryAfterMs : 20);
 			state = await this.#reportLost(input, attempt, delivery.text);
 		}
 	}
@@ -207,7 +134,7 @@
 	/** Reads one attempt until it ends or is lost. */
 	async #readAttempt(
 		{grant, payload, receivedMs}: Attempt,
-		delivery: Delivery,
+		delivery: AnswerDelivery,
 		signal: AbortSignal,
 	): Promise<AttemptEnd> {
 		const fromOffset = delivery.begin(grant.attempt);
@@ -215,9 +142,7 @@
 		return readAttempt(
 			this.#peers,
 			{grant: {...grant, timeoutMs}, payload, fromOffset},
-			({offset, text}) => {
-				delivery.take(offset, text);
-			},
+			({offset, text}) => delivery.take(offset, text),
 			signal,
 		);
 	}
@@ -226,7 +151,7 @@
 const finishAttempt = (
 	{attempt, turn, kind}: Grant,
 	end: Extract<AttemptEnd, {type: 'final'}>,
-	delivery: Delivery,
+	delivery: AnswerDelivery,
 ): FollowedCall => {
 	if (end.outcome.status === 'answered' && kind === 'model') {
 		delivery.finish(attempt, end.content);
@@ -237,7 +162,7 @@
 
 const finishSettled = (
 	{record, content}: Extract<CallState, {status: 'settled'}>,
-	delivery: Delivery,
+	delivery: AnswerDelivery,
 ): FollowedCall => {
 	const {outcome} = record;
 	if (outcome.status === 'answered' && record.kind === 'model') {
--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -9,11 +9,8 @@
 } from '../call-contracts.ts';
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {messageMarker} from '../dispatcher/run-model-call.ts';
-import type {
-	AnswerReader,
-	FollowedCall,
-	ResumePosition,
-} from './call-follower.ts';
+import type {AnswerReader, ResumePosition} from './answer-delivery.ts';
+import type {FollowedCall} from './call-follower.ts';
 import {checkRequestId, type EntryCore, hashRequest} from './entry-core.ts';
 import {
 	type Handler,
--- a/packages/daemon/src/entry/read-attempt.ts
+++ b/packages/daemon/src/entry/read-attempt.ts
@@ -16,12 +16,13 @@
 
 /**
  * Reads the stream of one attempt at its dispatcher until it ends, is lost, or the caller goes away.
- * It never rejects.
+ * It never rejects. `onChunk` returns false for a chunk with text missing before it; the stream then
+ * counts as lost, because what follows cannot be placed either.
  */
 export const readAttempt = async (
 	peers: PeersService,
 	request: AttemptRequest,
-	onChunk: (chunk: Chunk) => void,
+	onChunk: (chunk: Chunk) => boolean,
 	signal: AbortSignal,
 ): Promise<AttemptEnd> => {
 	let stop: (() => void) | undefined;
@@ -54,21 +55,34 @@
 };
 
 const createHandlers = (
-	onChunk: (chunk: Chunk) => void,
+	onChunk: (chunk: Chunk) => boolean,
 	onEnd: (end: AttemptEnd) => void,
-): CallHandlers => ({
-	onData(data) {
-		const event = data as DispatchEvent;
-		if (event.type === 'chunk') {
-			onChunk(event);
-		} else {
-			onEnd(event);
-		}
-	},
-	onError(error) {
-		onEnd({type: 'lost', reason: reasonOf(error)});
-	},
-	onComplete() {
-		onEnd({type: 'lost', reason: 'dispatch-ended'});
-	},
-});
+): CallHandlers => {
+	let isEnded = false;
+	const end = (how: AttemptEnd) => {
+		isEnded = true;
+		onEnd(how);
+	};
+
+	return {
+		onData(data) {
+			// Text that arrives after the end belongs to no attempt that is still read.
+			if (isEnded) {
+				return;
+			}
+
+			const event = data as DispatchEvent;
+			if (event.type !== 'chunk') {
+				end(event);
+			} else if (!onChunk(event)) {
+				end({type: 'lost', reason: 'chunk-missing'});
+			}
+		},
+		onError(error) {
+			end({type: 'lost', reason: reasonOf(error)});
+		},
+		onComplete() {
+			end({type: 'lost', reason: 'dispatch-ended'});
+		},
+	};
+};
--- a/packages/daemon/src/entry/sse-answer.ts
+++ b/packages/daemon/src/entry/sse-answer.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {MarjoramcoveError} from '@marjoramcove/errors';
-import type {AnswerReader, FollowedCall} from './call-follower.ts';
+import type {AnswerReader} from './answer-delivery.ts';
+import type {FollowedCall} from './call-follower.ts';
 import {toCallerError} from './http-answers.ts';
 
 export type SseOptions = {
