Sample upstreams before building their views

routeCall built the views of all upstreams that the selectors allow and only then sampled five. Now the directory given to sampleViews builds a view when it is asked for. When none of the sample is usable, further upstreams are drawn in random order without repetition until one is, so that a fleet with few usable engines is still served; only a fleet without any is looked at completely. An upstream that just failed the call is used only when no other is usable, as before.

upstreamsFor filtered all upstreams for each call. Its result depends on the matching selectors and the target, so the list is kept until the next update of the configuration, for at most 256 pairs.

--- a/packages/configuration/src/configuration-view.ts
+++ b/packages/configuration/src/configuration-view.ts
@@ -1,4 +1,5 @@
 import {assertInvariant} from '@marjoramcove/errors';
+import type {UpstreamId} from '@marjoramcove/types';
 import type {ConfigurationDigest, ResourceChange} from './commands.ts';
 import type {
 	Budget,
@@ -32,6 +33,19 @@
  */
 export type UpdateOutcome = 'applied' | 'current' | 'gap' | 'old';
 
+/** Lists of upstreams that are kept; callers choose the target, so their number needs a bound. */
+const LISTS_KEPT = 256;
+
+const isAllowed = (
+	upstream: UpstreamResource,
+	selectors: SelectorResource[],
+	target: CallTarget,
+	{includeLeaving = false}: {includeLeaving?: boolean},
+): boolean =>
+	servesTarget(upstream, target) &&
+	(includeLeaving || !isLabelledLeaving(upstream)) &&
+	selectors.some(({spec}) => matchesLabels(spec.upstreams, upstream.labels));
+
 /**
  * Read-only copy of the configuration on a daemon. Its revision never goes back.
  *
@@ -48,6 +62,8 @@
 	#upstreams: UpstreamResource[] = [];
 	#selectors: SelectorResource[] = [];
 	#rules: ProgramLabelRuleResource[] = [];
+	/** Results of `upstreamsFor` by the names of the selectors and the target. */
+	readonly #lists = new Map<string, readonly UpstreamResource[]>();
 
 	/** Revision and hash of this copy. */
 	get digest(): ConfigurationDigest {
@@ -116,22 +132,47 @@
 
 	/**
 	 * Upstreams on which a call of a program may run: a selector matches both, the upstream serves the
-	 * target, and no operator marked it as leaving (unless `includeLeaving` is set).
+	 * target, and no operator marked it as leaving (unless `includeLeaving` is set). The list is kept
+	 * until the next update, so that the cost of a call does not grow with the number of upstreams.
 	 */
 	upstreamsFor(
 		programLabels: Labels,
 		target: CallTarget,
-		{includeLeaving = false}: {includeLeaving?: boolean} = {},
-	): UpstreamResource[] {
+		options: {includeLeaving?: boolean} = {},
+	): readonly UpstreamResource[] {
 		const selectors = this.selectorsFor(programLabels);
-		return this.#upstreams.filter(
-			(upstream) =>
-				servesTarget(upstream, target) &&
-				(includeLeaving || !isLabelledLeaving(upstream)) &&
-				selectors.some(({spec}) =>
-					matchesLabels(spec.upstreams, upstream.labels),
-				),
-		);
+		const key = JSON.stringify([
+			options.includeLeaving ?? false,
+			target,
+			...selectors.map(({name}) => name),
+		]);
+		let list = this.#lists.get(key);
+		if (!list) {
+			list = this.#upstreams.filter((upstream) =>
+				isAllowed(upstream, selectors, target, options),
+			);
+			if (this.#lists.size >= LISTS_KEPT) {
+				this.#lists.clear();
+			}
+
+			this.#lists.set(key, list);
+		}
+
+		return list;
+	}
+
+	/** The upstream with this name if {@link upstreamsFor} lists it. */
+	upstreamFor(
+		name: UpstreamId,
+		programLabels: Labels,
+		target: CallTarget,
+		options: {includeLeaving?: boolean} = {},
+	): UpstreamResource | undefined {
+		const upstream = this.find('Upstream', name);
+		return upstream?.kind === 'Upstream' &&
+			isAllowed(upstream, this.selectorsFor(programLabels), target, options)
+			? upstream
+			: undefined;
 	}
 
 	/** Budget that a program may have; undefined when no selector matches it. */
@@ -169,6 +210,7 @@
 	}
 
 	#index(): void {
+		this.#lists.clear();
 		const sorted = sortResources(this.#resources.values());
 		this.#upstreams = sorted.filter((resource) => resource.kind === 'Upstream');
 		this.#rules = sorted.filter(
--- a/packages/configuration/src/plan-apply.test.ts
+++ b/packages/configuration/src/plan-apply.test.ts
@@ -79,6 +79,37 @@
 		});
 	});
 
+	it('lists upstreams anew after an update (failure: calls go on to an upstream that no selector allows any more)', () => {
+		const changing = new ConfigurationView();
+		const target = {model: 'agent-large'};
+		const names = (includeLeaving: boolean) =>
+			changing.upstreamsFor({}, target, {includeLeaving}).map(({name}) => name);
+		const first = engineOf('engine-1', {fleet: 'main', leaving: 'true'});
+		const selector = selectorOf('a', {upstreams: {fleet: 'main'}});
+		changing.applyUpdate({
+			full: [first, selector],
+			digest: {revision: 1, hash: 'h1'},
+		});
+		expect(names(true)).toEqual(['engine-1']);
+		expect(names(false)).toEqual([]);
+		expect(changing.upstreamFor(first.name, {}, target)).toBeUndefined();
+		expect(
+			changing.upstreamFor(first.name, {}, target, {includeLeaving: true}),
+		).toEqual(first);
+		changing.applyUpdate({
+			full: [
+				engineOf('engine-1', {fleet: 'spare'}),
+				engineOf('engine-2', {fleet: 'main'}),
+				selector,
+			],
+			digest: {revision: 2, hash: 'h2'},
+		});
+		expect(names(true)).toEqual(['engine-2']);
+		expect(
+			changing.upstreamFor(first.name, {}, target, {includeLeaving: true}),
+		).toBeUndefined();
+	});
+
 	it('stops on another hash at its revision (failure: two daemons work with different configurations)', () => {
 		expect(() =>
 			view.applyUpdate({full: [], digest: {revision: 1, hash: 'other'}}),
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -2,7 +2,9 @@
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {
 	chooseEngine,
+	type EngineDirectory,
 	type EngineView,
+	isEligible,
 	sampleViews,
 } from '@marjoramcove/scheduler';
 import type {
@@ -96,14 +98,17 @@
 		);
 	}
 
-	const views = allowed.map((upstream) =>
-		viewOf(core, outstanding, request, upstream),
-	);
-	const preferred = views.filter(
-		({upstreamId}) => !request.avoid?.has(upstreamId),
-	);
-	const chosen =
-		choose(core, request, preferred) ?? choose(core, request, views);
+	const chosen = choose(core, request, {
+		count: allowed.length,
+		viewAt: (position) =>
+			viewOf(core, outstanding, request, allowed[position]!),
+		viewOf(upstreamId) {
+			const upstream = view.upstreamFor(upstreamId, program.labels, target, {
+				includeLeaving: true,
+			});
+			return upstream && viewOf(core, outstanding, request, upstream);
+		},
+	});
 	if (!chosen) {
 		throw refusal(
 			'no-upstream',
@@ -114,24 +119,51 @@
 
 	return withDispatcher(
 		core,
-		allowed.find(({name}) => name === chosen.upstreamId)!,
+		core.upstreams.lookUp(chosen.upstreamId)!,
 		chosen.cachedTokens,
 	);
 };
 
+/** Positions 0 to count - 1 in random order; the cost is that of the positions taken. */
+function* drawPositions(count: number): Generator<number> {
+	const moved = new Map<number, number>();
+	for (let last = count - 1; last >= 0; last--) {
+		const drawn = Math.floor(Math.random() * (last + 1));
+		yield moved.get(drawn) ?? drawn;
+		moved.set(drawn, moved.get(last) ?? last);
+	}
+}
+
+/** A random upstream that may get the call, and rather one that has not just failed it. */
+const findUsable = (
+	directory: EngineDirectory,
+	{avoid}: RouteRequest,
+): EngineView | undefined => {
+	let lastResort: EngineView | undefined;
+	for (const position of drawPositions(directory.count)) {
+		const view = directory.viewAt(position);
+		if (isEligible(view)) {
+			if (!avoid?.has(view.upstreamId)) {
+				return view;
+			}
+
+			lastResort = view;
+		}
+	}
+
+	return lastResort;
+};
+
+/** Chooses among the engine that has the program cached and a few sampled ones. */
 const choose = (
 	core: OwnerCore,
 	request: RouteRequest,
-	views: EngineView[],
+	directory: EngineDirectory,
 ): EngineView | undefined => {
 	const {policy} = core.context.settings;
 	const previous = previousEngine(request.program);
-	const candidates = sampleViews(
-		{
-			count: views.length,
-			viewAt: (position) => views[position]!,
-			viewOf: (id) => views.find(({upstreamId}) => upstreamId === id),
-		},
+	const sampled = sampleViews(
+		directory,
 		previous === undefined ? [] : [previous],
 		policy,
 		Math.random,
@@ -144,9 +176,14 @@
 		...(previous !== undefined && {previousUpstreamId: previous}),
 		deadlineMs: request.program.deadlineMs,
 	};
-	const pick = (from: EngineView[]) =>
-		chooseEngine(routing, from, policy, Math.random);
-	return pick(candidates) ?? pick(views);
+	return (
+		chooseEngine(
+			routing,
+			sampled.filter(({upstreamId}) => !request.avoid?.has(upstreamId)),
+			policy,
+			Math.random,
+		) ?? findUsable(directory, request)
+	);
 };
 
 const withDispatcher = (
