Estimate the open work of engines with estimateOpenWork

The owner took the larger of its granted calls and the last report, counted an old report as an idle engine after 5 s, and priced a call as if its whole prompt had to be computed. A report that comes with a settled call now carries its age at the dispatcher; it used to count as new, and a dispatcher without any report sent zeros.

Work of a call: the record of a call keeps only the reservation, so the prompt follows from the size of the history, and it counts as cached when the last model call used the same engine. Engines report calls without tokens: a reported call counts as the average open one.

--- a/packages/daemon/src/call-contracts.ts
+++ b/packages/daemon/src/call-contracts.ts
@@ -93,6 +93,9 @@
 	/** The dispatcher may still be alive; ask again after a while. */
 	| {status: 'unsure'; retryAfterMs: number};
 
+/** Completion length that queues and estimates assume at most; the real one is not known. */
+export const assumedCompletionTokens = 256;
+
 /** Token counts of an engine in the form of the OpenAI API. */
 export type Usage = {
 	prompt_tokens: number;
--- a/packages/daemon/src/dispatcher/attempt-settler.ts
+++ b/packages/daemon/src/dispatcher/attempt-settler.ts
@@ -117,6 +117,10 @@
 	#describeOutcome({grant}: CallRun, result: AttemptResult) {
 		const isAnswer = result.outcome.status === 'answered';
 		const {usage} = result;
+		const load =
+			grant.kind === 'model'
+				? this.#upstreams.lastReport(grant.upstreamId)
+				: undefined;
 		return {
 			programId: grant.programId,
 			requestId: grant.requestId,
@@ -133,12 +137,7 @@
 				cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
 			}),
 			...(result.outcome.verdict === 'not-run' && {usedTokens: 0}),
-			...(grant.kind === 'model' && {
-				load: {
-					upstreamId: grant.upstreamId,
-					...this.#upstreams.load(grant.upstreamId),
-				},
-			}),
+			...(load && {load: {upstreamId: grant.upstreamId, ...load}}),
 		};
 	}
 }
--- a/packages/daemon/src/owner/admit-model-call.ts
+++ b/packages/daemon/src/owner/admit-model-call.ts
@@ -3,7 +3,8 @@
 import type {CallerId} from '@marjoramcove/types';
 import {refusal} from '../daemon-context.ts';
 import type {OwnerCore} from './owner-core.ts';
-import type {Outstanding, Route} from './route-call.ts';
+import type {OpenCallLoads} from './open-call-loads.ts';
+import type {Route} from './route-call.ts';
 
 /** Engine time per outstanding token that admission assumes, mostly prompt tokens. */
 const workMsPerToken = 0.1;
@@ -13,19 +14,20 @@
 /** Load of the chosen engine. It is the least loaded of a sample, so it stands for the fleet. */
 const describeLoad = (
 	core: OwnerCore,
-	outstanding: Outstanding,
+	loads: OpenCallLoads,
 	{upstream}: Route,
 ): FleetLoad => {
 	const load = core.upstreams.load(upstream.name);
-	const own = outstanding.get(upstream.name);
-	const calls = Math.max(own?.calls ?? 0, load.running + load.waiting);
+	const own = loads.own(upstream.name);
+	const calls = Math.max(own.calls, load.running + load.waiting);
 	const {slots} = upstream.spec;
 	return {
 		engines: 1,
 		slots,
 		inFlight: Math.min(calls, slots),
 		queued: Math.max(0, calls - slots),
-		outstandingWorkMs: (own?.tokens ?? 0) * workMsPerToken,
+		outstandingWorkMs:
+			(own.prefillTokens + own.completionTokens) * workMsPerToken,
 		cacheUsedTokens: load.kvTokens,
 		cacheCapacityTokens: load.kvCapacityTokens || unknownCacheTokens,
 		// Programs are not counted per caller; fairness between callers is left to the queues.
@@ -42,12 +44,12 @@
  */
 export const admitModelCall = (
 	core: OwnerCore,
-	outstanding: Outstanding,
+	loads: OpenCallLoads,
 	program: ProgramDescription,
 	route: Route,
 ): void => {
 	const decision = admitCall(
-		describeLoad(core, outstanding, route),
+		describeLoad(core, loads, route),
 		{
 			programId: program.programId,
 			callerId: program.callerId as CallerId,
--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -17,9 +17,10 @@
 	unknownProgram,
 } from './owner-core.ts';
 import {admitModelCall} from './admit-model-call.ts';
+import type {OpenCallLoads} from './open-call-loads.ts';
 import {planMessages} from './plan-messages.ts';
 import type {ProgramGates} from './program-gates.ts';
-import {type Outstanding, type Route, routeCall} from './route-call.ts';
+import {type Route, routeCall} from './route-call.ts';
 
 /** Tokens that a prompt of these sizes takes at most; one byte per entry separates them. */
 export const estimatePromptTokens = (
@@ -47,12 +48,12 @@
 export class CallAccepter {
 	readonly #core: OwnerCore;
 	readonly #gates: ProgramGates;
-	readonly #outstanding: Outstanding;
+	readonly #loads: OpenCallLoads;
 
-	constructor(core: OwnerCore, gates: ProgramGates, outstanding: Outstanding) {
+	constructor(core: OwnerCore, gates: ProgramGates, loads: OpenCallLoads) {
 		this.#core = core;
 		this.#gates = gates;
-		this.#outstanding = outstanding;
+		this.#loads = loads;
 	}
 
 	/**
@@ -222,7 +223,7 @@
 			program,
 			promptTokens,
 		);
-		const route = routeCall(this.#core, this.#outstanding, {
+		const route = routeCall(this.#core, this.#loads, {
 			program,
 			target: input.target,
 			zone: input.zone,
@@ -230,7 +231,7 @@
 			completionTokens,
 		});
 		if (input.kind === 'model') {
-			admitModelCall(this.#core, this.#outstanding, program, route);
+			admitModelCall(this.#core, this.#loads, program, route);
 		}
 
 		return this.#core.propose(programId, {
--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -13,8 +13,9 @@
 } from '../call-contracts.ts';
 import {messageOf, reasonOf, refusal} from '../daemon-context.ts';
 import {type CallAccepter, estimatePromptTokens} from './call-accepter.ts';
+import type {OpenCallLoads} from './open-call-loads.ts';
 import {type OwnerCore} from './owner-core.ts';
-import {type Outstanding, type Route, routeCall} from './route-call.ts';
+import {type Route, routeCall} from './route-call.ts';
 
 /** What is known of the attempt at its dispatcher. */
 type Finding = AttemptStatus | 'gone' | 'unsure';
@@ -34,18 +35,14 @@
 export class CallRecovery {
 	readonly #core: OwnerCore;
 	readonly #accepter: CallAccepter;
-	readonly #outstanding: Outstanding;
+	readonly #loads: OpenCallLoads;
 	/** Time since which the dispatcher of an attempt cannot be reached, by attempt. */
 	readonly #unsureSinceMs = new Map<string, number>();
 
-	constructor(
-		core: OwnerCore,
-		accepter: CallAccepter,
-		outstanding: Outstanding,
-	) {
+	constructor(core: OwnerCore, accepter: CallAccepter, loads: OpenCallLoads) {
 		this.#core = core;
 		this.#accepter = accepter;
-		this.#outstanding = outstanding;
+		this.#loads = loads;
 	}
 
 	/** Handles the report that an attempt is lost; any number of reports have one effect. */
@@ -195,7 +192,7 @@
 		const program = await this.#core.openProgram(input.programId);
 		try {
 			this.#core.configuration.assertLease();
-			return routeCall(this.#core, this.#outstanding, {
+			return routeCall(this.#core, this.#loads, {
 				program,
 				target: input.target,
 				zone: input.zone,
--- /dev/null
+++ b/packages/daemon/src/owner/describe-work.ts
@@ -0,0 +1,56 @@
+import type {OpenCallDescription, ProgramCommand} from '@marjoramcove/programs';
+import type {OpenWork} from '@marjoramcove/scheduler';
+import type {UpstreamId} from '@marjoramcove/types';
+import {assumedCompletionTokens} from '../call-contracts.ts';
+
+/**
+ * Expected work of an open call. The record keeps only the reservation, so the prompt follows from the
+ * size of the history.
+ *
+ * @param cachedBytes - part of the history that the engine is expected to have cached.
+ */
+export const describeWork = (
+	{reservedTokens}: Pick<OpenCallDescription, 'reservedTokens'>,
+	{historyBytes}: {historyBytes: number},
+	{bytesPerToken, cachedBytes}: {bytesPerToken: number; cachedBytes: number},
+): OpenWork => {
+	const promptTokens = Math.min(
+		reservedTokens,
+		Math.ceil(historyBytes / bytesPerToken),
+	);
+	return {
+		calls: 1,
+		prefillTokens: Math.max(
+			0,
+			promptTokens - Math.floor(cachedBytes / bytesPerToken),
+		),
+		completionTokens: Math.min(
+			assumedCompletionTokens,
+			reservedTokens - promptTokens,
+		),
+	};
+};
+
+/** Expected work of a call that has just been accepted or retried, from its command. */
+export const describeAppliedWork = (
+	command: ProgramCommand,
+	call: Pick<OpenCallDescription, 'reservedTokens' | 'upstreamId'>,
+	program: {historyBytes: number},
+	{
+		bytesPerToken,
+		engineBefore,
+	}: {bytesPerToken: number; engineBefore: UpstreamId | undefined},
+): OpenWork => {
+	const newBytes =
+		command.type === 'accept-call'
+			? command.messages.reduce(
+					(sum, {content}) => sum + Buffer.byteLength(content),
+					0,
+				)
+			: 0;
+	return describeWork(call, program, {
+		bytesPerToken,
+		cachedBytes:
+			engineBefore === call.upstreamId ? program.historyBytes - newBytes : 0,
+	});
+};
--- a/packages/daemon/src/owner/route-call.test.ts
+++ b/packages/daemon/src/owner/route-call.test.ts
@@ -2,6 +2,7 @@
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {asId, type UpstreamId, type ZoneName} from '@marjoramcove/types';
 import {describe, expect, it} from 'vitest';
+import {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
 import {routeCall, type RouteRequest} from './route-call.ts';
 
@@ -34,6 +35,7 @@
 				kvTokens: 0,
 				kvCapacityTokens: 100_000,
 			}),
+			lastReport: () => undefined,
 			isLeaving: () => false,
 			isHealthy(name: UpstreamId) {
 				counts.views++;
@@ -64,7 +66,7 @@
 });
 
 const route = (core: OwnerCore, request: RouteRequest): UpstreamId =>
-	routeCall(core, new Map(), request).upstream.name;
+	routeCall(core, new OpenCallLoads(), request).upstream.name;
 
 describe('routeCall', () => {
 	it('looks at a few engines whatever their number', () => {
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -13,8 +13,10 @@
 	UpstreamId,
 	ZoneName,
 } from '@marjoramcove/types';
-import type {Target} from '../call-contracts.ts';
+import {assumedCompletionTokens, type Target} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
+import {estimateEngineWork} from './estimate-engine-work.ts';
+import type {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
 
 /** Where a call goes. */
@@ -43,27 +45,27 @@
 const previousEngine = (program: ProgramDescription): UpstreamId | undefined =>
 	program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0]?.upstreamId;
 
-/** Outstanding calls and tokens by upstream, as this owner granted them. */
-export type Outstanding = Map<UpstreamId, {calls: number; tokens: number}>;
-
 const viewOf = (
 	core: OwnerCore,
-	outstanding: Outstanding,
-	{program, promptTokens}: RouteRequest,
+	loads: OpenCallLoads,
+	{program, promptTokens, completionTokens}: RouteRequest,
 	upstream: UpstreamResource,
 ): EngineView => {
 	const {name, spec} = upstream;
 	const load = core.upstreams.load(name);
-	const own = outstanding.get(name) ?? {calls: 0, tokens: 0};
-	const calls = Math.max(own.calls, load.running + load.waiting);
+	const work = estimateEngineWork(core, loads, name, {
+		prefillTokens: promptTokens,
+		completionTokens: Math.min(assumedCompletionTokens, completionTokens),
+	});
 	const isPrevious = previousEngine(program) === name;
 	return {
 		upstreamId: name,
 		zone: spec.zone,
 		slots: spec.slots,
-		inFlight: Math.min(calls, spec.slots),
-		queued: Math.max(0, calls - spec.slots),
-		outstandingTokens: Math.max(own.tokens, calls * promptTokens),
+		inFlight: Math.min(work.calls, spec.slots),
+		queued: Math.max(0, work.calls - spec.slots),
+		outstandingTokens: work.prefillTokens + work.completionTokens,
+		outstandingCompletionTokens: work.completionTokens,
 		cachedTokens: isPrevious
 			? Math.min(promptTokens, Math.floor(program.historyBytes / 4))
 			: 0,
@@ -82,7 +84,7 @@
  */
 export const routeCall = (
 	core: OwnerCore,
-	outstanding: Outstanding,
+	loads: OpenCallLoads,
 	request: RouteRequest,
 ): Route => {
 	const {program, target} = request;
@@ -100,13 +102,12 @@
 
 	const chosen = choose(core, request, {
 		count: allowed.length,
-		viewAt: (position) =>
-			viewOf(core, outstanding, request, allowed[position]!),
+		viewAt: (position) => viewOf(core, loads, request, allowed[position]!),
 		viewOf(upstreamId) {
 			const upstream = view.upstreamFor(upstreamId, program.labels, target, {
 				includeLeaving: true,
 			});
-			return upstream && viewOf(core, outstanding, request, upstream);
+			return upstream && viewOf(core, loads, request, upstream);
 		},
 	});
 	if (!chosen) {
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -5,6 +5,7 @@
 import type {UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {
+	assumedCompletionTokens,
 	attemptKey,
 	attemptSchema,
 	type AttemptName,
@@ -326,9 +327,6 @@
 	}
 }
 
-/** Completion length that the order of the queue assumes at most; the real one is not known. */
-const assumedCompletionTokens = 256;
-
 const toQueuedCall = (grant: Grant): QueuedCall => ({
 	programId: grant.programId,
 	callerId: grant.callerId,
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -2,10 +2,10 @@
 import {
 	describeProgram,
 	isProgramLive,
+	openIntents,
 	type ProgramCommand,
 	type ProgramResult,
 } from '@marjoramcove/programs';
-import {decideRetention} from '@marjoramcove/scheduler';
 import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {
@@ -17,9 +17,11 @@
 import type {DaemonContext} from '../daemon-context.ts';
 import {CallAccepter} from '../owner/call-accepter.ts';
 import {CallRecovery} from '../owner/call-recovery.ts';
+import {describeAppliedWork, describeWork} from '../owner/describe-work.ts';
 import {OpenCallLoads} from '../owner/open-call-loads.ts';
 import {OwnerCore} from '../owner/owner-core.ts';
 import {OwnerSweeps} from '../owner/owner-sweeps.ts';
+import {pauseProgram} from '../owner/pause-program.ts';
 import {ProgramGates} from '../owner/program-gates.ts';
 import {
 	carveSchema,
@@ -49,6 +51,8 @@
 			waiting: z.number(),
 			kvTokens: z.number(),
 			kvCapacityTokens: z.number(),
+			/** Age of the report at the dispatcher. */
+			ageMs: z.number().min(0),
 		})
 		.optional(),
 });
@@ -89,16 +93,8 @@
 			groups: kernel.get<GroupClientService>('group-client'),
 		});
 		this.#gates = new ProgramGates(settings.limits.queuedCallsPerProgram);
-		this.#accepter = new CallAccepter(
-			this.#core,
-			this.#gates,
-			this.#loads.outstanding,
-		);
-		this.#recovery = new CallRecovery(
-			this.#core,
-			this.#accepter,
-			this.#loads.outstanding,
-		);
+		this.#accepter = new CallAccepter(this.#core, this.#gates, this.#loads);
+		this.#recovery = new CallRecovery(this.#core, this.#accepter, this.#loads);
 		this.#registry = new ProgramRegistry(this.#core, this.#accepter);
 		this.#sweeps = new OwnerSweeps(this.#core, this.#recovery, this.#inputs);
 		this.#watchReplication();
@@ -119,8 +115,20 @@
 	}
 
 	#watchReplication(): void {
-		this.#core.replication.onApplied((_shard, command, result) => {
-			this.#noteApplied(command, result);
+		const {replication} = this.#core;
+		replication.onApplied((...applied) => {
+			this.#noteApplied(...applied);
+		});
+		replication.onRestored((shard) => {
+			this.#recount(shard);
+		});
+		// Snapshots were restored before this service started.
+		for (const shard of replication.shards.keys()) {
+			this.#recount(shard);
+		}
+
+		this.#core.upstreams.onLoad((upstreamId) => {
+			this.#loads.noteReport(upstreamId);
 		});
 		this.#core.replication.onLeadershipChange((groupId, leadership) => {
 			this.#context.logger.info({
@@ -165,8 +173,8 @@
 		peers.handle('programs.settle', settleSchema, async ({load, ...input}) => {
 			await this.#core.lead(input.programId);
 			if (load) {
-				const {upstreamId, ...report} = load;
-				this.#core.upstreams.noteLoad(upstreamId, report);
+				const {upstreamId, ageMs, ...report} = load;
+				this.#core.upstreams.noteLoad(upstreamId, report, ageMs);
 			}
 
 			const result = await this.#core.commit(input.programId, {
@@ -248,7 +256,8 @@
 		peers.handle(
 			'programs.pause',
 			z.object({programId: programIdSchema, expectedMs: z.number()}),
-			async ({programId, expectedMs}) => this.#pause(programId, expectedMs),
+			async ({programId, expectedMs}) =>
+				pauseProgram(this.#core, this.#sweeps, {programId, expectedMs}),
 		);
 		peers.handle(
 			'programs.findDead',
@@ -305,44 +314,27 @@
 		);
 	}
 
-	/** Decides what happens to the cache of a program over a pause. */
-	async #pause(programId: ProgramId, expectedMs: number) {
-		const program = await this.#core.openProgram(programId);
-		const hold = program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0];
-		if (!hold || program.call) {
-			return {programId, decision: 'keep'};
-		}
-
-		const load = this.#core.upstreams.load(hold.upstreamId);
-		const decision = decideRetention(
-			{
-				cachedTokens: Math.floor(program.historyBytes / 4),
-				expectedPauseMs: expectedMs,
-				programEnded: false,
-				cacheUsedTokens: load.kvTokens,
-				cacheCapacityTokens: load.kvCapacityTokens,
-				exportFreeTokens: 0,
-			},
-			this.#context.settings.policy,
-		);
-		if (decision === 'drop') {
-			await this.#sweeps.deleteMemory(programId, hold.upstreamId);
-			await this.#core.commit(programId, {
-				type: 'record-release',
-				nowMs: this.#core.commandTimeMs(programId),
-				programId,
-				upstreamId: hold.upstreamId,
-				heldTurn: hold.heldTurn,
-			});
-		}
-
-		return {programId, decision};
-	}
-
 	/** Keeps the load that this owner granted, and wakes the calls that wait for a settled one. */
-	#noteApplied(command: ProgramCommand, result: ProgramResult): void {
+	#noteApplied(
+		shard: number,
+		command: ProgramCommand,
+		result: ProgramResult,
+		engineBefore: UpstreamId | undefined,
+	): void {
 		if (result.outcome === 'accepted' || result.outcome === 'retried') {
-			this.#loads.add(result.call);
+			const {programs} = this.#core.replication.shards[shard]!.state;
+			this.#loads.add({
+				...result.call,
+				work: describeAppliedWork(
+					command,
+					result.call,
+					programs.get(result.call.programId)!,
+					{
+						bytesPerToken: this.#context.settings.limits.bytesPerToken,
+						engineBefore,
+					},
+				),
+			});
 		} else if (result.outcome === 'settled' && command.type === 'settle-call') {
 			this.#close(command.programId, command.requestId);
 		} else if (result.outcome === 'ended' || result.outcome === 'expired') {
@@ -356,6 +348,22 @@
 		}
 	}
 
+	/** Counts the open calls of a shard anew after its state was replaced by a snapshot. */
+	#recount(shard: number): void {
+		const {state} = this.#core.replication.shards[shard]!;
+		const {bytesPerToken} = this.#context.settings.limits;
+		this.#loads.replaceShard(
+			shard,
+			openIntents(state).map((call) => ({
+				...call,
+				work: describeWork(call, state.programs.get(call.programId)!, {
+					bytesPerToken,
+					cachedBytes: 0,
+				}),
+			})),
+		);
+	}
+
 	#close(programId: ProgramId, requestId: RequestId): void {
 		this.#loads.remove({programId, requestId});
 		this.#inputs.delete(`${programId}:${requestId}`);
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -7,7 +7,7 @@
 } from '@marjoramcove/consensus';
 import {NotLeaderError} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
-import type {ProgramCommand, ProgramResult} from '@marjoramcove/programs';
+import type {ProgramCommand} from '@marjoramcove/programs';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
@@ -15,6 +15,7 @@
 import {
 	ConfigurationMachine,
 	encodeCommand,
+	type ProgramsListener,
 	ProgramsMachine,
 } from './state-machines.ts';
 
@@ -31,8 +32,7 @@
 
 type AppliedListener = (
 	shard: number,
-	command: ProgramCommand,
-	result: ProgramResult,
+	...applied: Parameters<ProgramsListener['onApplied']>
 ) => void;
 
 /** Runs the replicas of this daemon's disk; without the role `state` it leads and knows nothing. */
@@ -41,6 +41,7 @@
 	readonly shards: ProgramsMachine[] = [];
 	readonly #context: DaemonContext;
 	readonly #appliedListeners = new Set<AppliedListener>();
+	readonly #restoredListeners = new Set<(shard: number) => void>();
 	readonly #readyTerms = new Map<
 		GroupId,
 		{term: number; ready: Promise<void>}
@@ -110,6 +111,11 @@
 		this.#appliedListeners.add(listener);
 	}
 
+	/** Calls the listener when the state of a shard was replaced by a snapshot. */
+	onRestored(listener: (shard: number) => void): void {
+		this.#restoredListeners.add(listener);
+	}
+
 	onLeadershipChange(
 		listener: (groupId: GroupId, leadership: Leadership) => void,
 	): void {
@@ -285,10 +291,17 @@
 					historySizeBytes: limits.historySizeBytes,
 					tombstoneRetentionMs: timing.endedProgramRetentionMs,
 				},
-				(command, result) => {
-					for (const listener of this.#appliedListeners) {
-						listener(shard, command, result);
-					}
+				{
+					onApplied: (...applied) => {
+						for (const listener of this.#appliedListeners) {
+							listener(shard, ...applied);
+						}
+					},
+					onRestored: () => {
+						for (const listener of this.#restoredListeners) {
+							listener(shard);
+						}
+					},
 				},
 			);
 			this.shards.push(machine);
--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -22,6 +22,7 @@
 	type ProgramsState,
 	stepPrograms,
 } from '@marjoramcove/programs';
+import type {UpstreamId} from '@marjoramcove/types';
 import {CommandClock} from '../owner/command-clock.ts';
 
 /** Encodes a command for the replicated log. */
@@ -54,30 +55,60 @@
 	}
 }
 
+/** What happens to the programs of a shard on this replica. */
+export type ProgramsListener = {
+	/** @param engineBefore - engine of the last model call before an accepted or retried one. */
+	onApplied: (
+		command: ProgramCommand,
+		result: ProgramResult,
+		engineBefore: UpstreamId | undefined,
+	) => void;
+	/** The state was replaced by a snapshot. */
+	onRestored: () => void;
+};
+
+/** Engine that used memory for a program last, before the command renews a hold. */
+const findEngineBefore = (
+	state: ProgramsState,
+	command: ProgramCommand,
+): UpstreamId | undefined => {
+	if (command.type !== 'accept-call' && command.type !== 'retry-call') {
+		return undefined;
+	}
+
+	let newest: {upstreamId: UpstreamId; turn: number} | undefined;
+	for (const hold of state.programs.get(command.programId)?.holds ?? []) {
+		newest = newest && newest.turn > hold.turn ? newest : hold;
+	}
+
+	return newest?.upstreamId;
+};
+
 /** Replicated programs of one shard. */
 export class ProgramsMachine extends StateMachine {
 	state: ProgramsState;
 	readonly clock = new CommandClock();
 	readonly #limits: Partial<ProgramLimits>;
-	readonly #onApplied: (command: ProgramCommand, result: ProgramResult) => void;
+	readonly #listener: ProgramsListener;
 
 	constructor(
 		shard: number,
 		limits: Partial<ProgramLimits>,
-		onApplied: (command: ProgramCommand, result: ProgramResult) => void,
+		listener: ProgramsListener,
 	) {
 		super();
 		this.#limits = limits;
-		this.#onApplied = onApplied;
+		this.#listener = listener;
 		this.state = createProgramsState(shard, limits);
 	}
 
 	override apply({command: bytes}: CommittedEntry): ApplyOutcome {
 		const command = decodeCommand<ProgramCommand>(bytes);
+		const engineBefore = findEngineBefore(this.state, command);
 		const {state, result, appended} = stepPrograms(this.state, command);
 		this.state = state;
 		this.clock.noteApplied(state.clockMs);
-		this.#onApplied(command, result);
+		this.#listener.onApplied(command, result, engineBefore);
 		return {result, appended: appended.map((text) => encodeHistoryText(text))};
 	}
 
@@ -89,5 +120,6 @@
 		this.state = decodePrograms(bytes);
 		Object.assign(this.state.limits, this.#limits);
 		this.clock.noteApplied(this.state.clockMs);
+		this.#listener.onRestored();
 	}
 }
--- a/packages/daemon/src/services/upstreams-service.ts
+++ b/packages/daemon/src/services/upstreams-service.ts
@@ -46,6 +46,7 @@
 	readonly #agent = new Agent({connections: 2, keepAliveTimeout: 30_000});
 	readonly #health = new Map<UpstreamId, UpstreamHealth>();
 	readonly #busy = new Set<UpstreamId>();
+	readonly #loadListeners = new Set<(upstreamId: UpstreamId) => void>();
 	/** Results of the hashing over the ready daemons, which takes 0.35 ms for 420 of them. */
 	readonly #dispatchers = new Map<UpstreamId, DaemonId | undefined>();
 	/** Upstreams of this dispatcher whose own answer says that they are leaving. */
@@ -134,11 +135,40 @@
 			: {running, waiting, kvTokens, kvCapacityTokens};
 	}
 
-	/** Takes a load report that came with the outcome of a call. */
-	noteLoad(upstreamId: UpstreamId, load: LoadReport): void {
-		Object.assign(this.#healthOf(upstreamId), load, {
-			loadAtMs: performance.now(),
-		});
+	/** Last load report at any age; undefined when there is none. */
+	lastReport(
+		upstreamId: UpstreamId,
+	): (Required<LoadReport> & {ageMs: number}) | undefined {
+		const {running, waiting, kvTokens, kvCapacityTokens, loadAtMs} =
+			this.#healthOf(upstreamId);
+		return loadAtMs === Number.NEGATIVE_INFINITY
+			? undefined
+			: {
+					running,
+					waiting,
+					kvTokens,
+					kvCapacityTokens,
+					ageMs: performance.now() - loadAtMs,
+				};
+	}
+
+	/** Calls the listener with each load report that is newer than the one before. */
+	onLoad(listener: (upstreamId: UpstreamId) => void): void {
+		this.#loadListeners.add(listener);
+	}
+
+	/** Takes a load report of the given age, unless a newer one is known. */
+	noteLoad(upstreamId: UpstreamId, load: LoadReport, ageMs = 0): void {
+		const health = this.#healthOf(upstreamId);
+		const loadAtMs = performance.now() - ageMs;
+		if (loadAtMs <= health.loadAtMs) {
+			return;
+		}
+
+		Object.assign(health, load, {loadAtMs});
+		for (const listener of this.#loadListeners) {
+			listener(upstreamId);
+		}
 	}
 
 	/** Daemon that dispatches for an upstream, by rendezvous hashing over the live daemons. */
--- a/scripts/time-routing.mjs
+++ b/scripts/time-routing.mjs
@@ -1,6 +1,7 @@
 // Times the routing decision of a shard owner by the number of servers; needs `npm run build`.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ConfigurationView} from '../packages/configuration/dist/index.js';
+import {OpenCallLoads} from '../packages/daemon/dist/owner/open-call-loads.js';
 import {routeCall} from '../packages/daemon/dist/owner/route-call.js';
 import {UpstreamsService} from '../packages/daemon/dist/services/upstreams-service.js';
 
@@ -94,10 +95,7 @@
 
 for (const servers of [12, 170, 1700]) {
 	const core = await createCore(servers);
-	const {OpenCallLoads} =
-		await import('../packages/daemon/dist/owner/open-call-loads.js');
 	const loads = new OpenCallLoads();
-	const known = loads.readOwn ? loads : loads.outstanding;
 	// A daemon asks for the dispatcher of every upstream each second, for its health checks.
 	for (const {name} of core.configuration.view.upstreams) {
 		core.upstreams.dispatcherOf(name);
@@ -107,7 +105,7 @@
 	for (let decision = 0; decision < decisions; decision++) {
 		const request = createRequest(servers);
 		const startedMs = performance.now();
-		routeCall(core, known, request);
+		routeCall(core, loads, request);
 		durationsMs.push(performance.now() - startedMs);
 		if (decision % 50 === 0) {
 			await sleep(1);
