--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -2,7 +2,9 @@
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {
 	chooseEngine,
+	type EngineDirectory,
 	type EngineView,
+	isEligible,
 	sampleViews,
 } from '@marjoramcove/scheduler';
 import type {
@@ -11,8 +13,10 @@
 	UpstreamId,
 	ZoneName,
 } from '@marjoramcove/types';
-import type {Target} from '../call-contracts.ts';
+import {assumedCompletionTokens, type Target} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
+import {estimateEngineWork} from './estimate-engine-work.ts';
+import type {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
 
 /** Where a call goes. */
@@ -41,27 +45,27 @@
 const previousEngine = (program: ProgramDescription): UpstreamId | undefined =>
 	program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0]?.upstreamId;
 
-/** Outstanding calls and tokens by upstream, as this owner granted them. */
-export type Outstanding = Map<UpstreamId, {calls: number; tokens: number}>;
-
 const viewOf = (
 	core: OwnerCore,
-	outstanding: Outstanding,
-	{program, promptTokens}: RouteRequest,
+	loads: OpenCallLoads,
+	{program, promptTokens, completionTokens}: RouteRequest,
 	upstream: UpstreamResource,
 ): EngineView => {
 	const {name, spec} = upstream;
 	const load = core.upstreams.load(name);
-	const own = outstanding.get(name) ?? {calls: 0, tokens: 0};
-	const calls = Math.max(own.calls, load.running + load.waiting);
+	const work = estimateEngineWork(core, loads, name, {
+		prefillTokens: promptTokens,
+		completionTokens: Math.min(assumedCompletionTokens, completionTokens),
+	});
 	const isPrevious = previousEngine(program) === name;
 	return {
 		upstreamId: name,
 		zone: spec.zone,
 		slots: spec.slots,
-		inFlight: Math.min(calls, spec.slots),
-		queued: Math.max(0, calls - spec.slots),
-		outstandingTokens: Math.max(own.tokens, calls * promptTokens),
+		inFlight: Math.min(work.calls, spec.slots),
+		queued: Math.max(0, work.calls - spec.slots),
+		outstandingTokens: work.prefillTokens + work.completionTokens,
+		outstandingCompletionTokens: work.completionTokens,
 		cachedTokens: isPrevious
 			? Math.min(promptTokens, Math.floor(program.historyBytes / 4))
 			: 0,
@@ -80,7 +84,7 @@
  */
 export const routeCall = (
 	core: OwnerCore,
-	outstanding: Outstanding,
+	loads: OpenCallLoads,
 	request: RouteRequest,
 ): Route => {
 	const {program, target} = request;
@@ -96,14 +100,16 @@
 		);
 	}
 
-	const views = allowed.map((upstream) =>
-		viewOf(core, outstanding, request, upstream),
-	);
-	const preferred = views.filter(
-		({upstreamId}) => !request.avoid?.has(upstreamId),
-	);
-	const chosen =
-		choose(core, request, preferred) ?? choose(core, request, views);
+	const chosen = choose(core, request, {
+		count: allowed.length,
+		viewAt: (position) => viewOf(core, loads, request, allowed[position]!),
+		viewOf(upstreamId) {
+			const upstream = view.upstreamFor(upstreamId, program.labels, target, {
+				includeLeaving: true,
+			});
+			return upstream && viewOf(core, loads, request, upstream);
+		},
+	});
 	if (!chosen) {
 		throw refusal(
 			'no-upstream',
@@ -114,24 +120,51 @@
 
 	return withDispatcher(
 		core,
-		allowed.find(({name}) => name === chosen.upstreamId)!,
+		core.upstreams.lookUp(chosen.upstreamId)!,
 		chosen.cachedTokens,
 	);
 };
 
+/** Positions 0 to count - 1 in random order; the cost is that of the positions taken. */
+function* drawPositions(count: number): Generator<number> {
+	const moved = new Map<number, number>();
+	for (let last = count - 1; last >= 0; last--) {
+		const drawn = Math.floor(Math.random() * (last + 1));
+		yield moved.get(drawn) ?? drawn;
+		moved.set(drawn, moved.get(last) ?? last);
+	}
+}
+
+/** A random upstream that may get the call, and rather one that has not just failed it. */
+const findUsable = (
+	directory: EngineDirectory,
+	{avoid}: RouteRequest,
+): EngineView | undefined => {
+	let lastResort: EngineView | undefined;
+	for (const position of drawPositions(directory.count)) {
+		const view = directory.viewAt(position);
+		if (isEligible(view)) {
+			if (!avoid?.has(view.upstreamId)) {
+				return view;
+			}
+
+			lastResort = view;
+		}
+	}
+
+	return lastResort;
+};
+
+/** Chooses among the engine that has the program cached and a few sampled ones. */
 const choose = (
 	core: OwnerCore,
 	request: RouteRequest,
-	views: EngineView[],
+	directory: EngineDirectory,
 ): EngineView | undefined => {
 	const {policy} = core.context.settings;
 	const previous = previousEngine(request.program);
-	const candidates = sampleViews(
-		{
-			count: views.length,
-			viewAt: (position) => views[position]!,
-			viewOf: (id) => views.find(({upstreamId}) => upstreamId === id),
-		},
+	const sampled = sampleViews(
+		directory,
 		previous === undefined ? [] : [previous],
 		policy,
 		Math.random,
@@ -144,9 +177,14 @@
 		...(previous !== undefined && {previousUpstreamId: previous}),
 		deadlineMs: request.program.deadlineMs,
 	};
-	const pick = (from: EngineView[]) =>
-		chooseEngine(routing, from, policy, Math.random);
-	return pick(candidates) ?? pick(views);
+	return (
+		chooseEngine(
+			routing,
+			sampled.filter(({upstreamId}) => !request.avoid?.has(upstreamId)),
+			policy,
+			Math.random,
+		) ?? findUsable(directory, request)
+	);
 };
 
 const withDispatcher = (
