Send frames between daemons in binary, and log batches without an answer

Cause: a batch of the replicated log was base64 inside JSON and a tRPC call with a schema, a timer and an answer, although the protocol answers by itself and repeats what is lost. All other messages were JSON text.

Frames are now MessagePack (msgpackr, the entry point without a native part) behind a format byte. Answers of one turn of the event loop share a frame, and replication.deliver is a message without an answer. tRPC keeps calls and streams.

Ruled out: useRecords of msgpackr, which compiles code and keeps state on the connection; the native part of msgpackr, whose decoding of damaged text may differ between daemons.

--- a/packages/daemon/src/services/peer-listener-service.ts
+++ b/packages/daemon/src/services/peer-listener-service.ts
@@ -1,6 +1,6 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {createPeerRouter, PeerServer} from '@marjoramcove/transport';
-import type {DaemonContext} from '../daemon-context.ts';
+import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 
 /** Listens for other daemons; registered after all services that serve procedures. */
@@ -23,14 +23,25 @@
 			'marjoramcove_slow_peers_closed_total',
 			'Links closed because the peer did not read.',
 		);
+		const peers = kernel.get<PeersService>('peers');
 		this.#server = new PeerServer({
 			listen: {host: listen.host, port: listen.peerPort},
-			router: createPeerRouter(kernel.get<PeersService>('peers').procedures),
+			router: createPeerRouter(peers.procedures),
+			posts: peers.posts,
 			maxMessageBytes: limits.peerMessageSizeBytes,
 			maxBatchSize: limits.queuedMessagesPerLink,
 			silenceMs: timing.linkTimeoutMs,
-			onEvent() {
-				slowPeers.increment();
+			onEvent: (event) => {
+				if (event.type === 'slow-peer-closed') {
+					slowPeers.increment();
+				} else {
+					this.#context.logger.warn({
+						event: event.type,
+						path: event.path,
+						reason: reasonOf(event.error),
+						error: messageOf(event.error),
+					});
+				}
 			},
 		});
 		await this.#server.start();
--- a/packages/daemon/src/services/peers-service.ts
+++ b/packages/daemon/src/services/peers-service.ts
@@ -4,6 +4,7 @@
 	type CallHandlers,
 	PeerClient,
 	type PeerContext,
+	type PostProcedure,
 	type Procedures,
 } from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
@@ -23,6 +24,7 @@
 /** Calls between daemons: the procedures that this daemon serves and the links to the others. */
 export class PeersService extends Service {
 	readonly procedures: Procedures = {};
+	readonly posts: Record<string, PostProcedure> = {};
 	readonly #context: DaemonContext;
 	readonly #clients = new Map<string, PeerClient>();
 	readonly #addresses = new Map<string, string>();
@@ -72,6 +74,15 @@
 		};
 	}
 
+	/** Takes messages that have no answer. */
+	handlePost<Schema extends ZodType>(
+		path: string,
+		input: Schema,
+		run: (input: z.output<Schema>) => void,
+	): void {
+		this.posts[path] = {input, run};
+	}
+
 	/** Learns the address of a daemon that the settings do not list. */
 	learnAddress(daemonId: DaemonId, address: string | undefined): void {
 		if (address !== undefined && !this.#addresses.has(daemonId)) {
@@ -95,6 +106,16 @@
 		});
 	}
 
+	/** Sends a message without an answer to another daemon; it may be lost. */
+	async post(
+		daemonId: DaemonId,
+		path: string,
+		input: unknown,
+		channel: Channel,
+	): Promise<void> {
+		await this.#client(daemonId, channel).post(path, input);
+	}
+
 	/** Opens a stream of a daemon, which may be this one. */
 	async subscribe(
 		daemonId: DaemonId,
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -205,12 +205,12 @@
 	}
 
 	#serve(peers: PeersService): void {
-		peers.handle(
+		// The protocol has answers of its own and repeats what is lost.
+		peers.handlePost(
 			'replication.deliver',
-			z.object({from: z.string(), batch: z.string()}),
-			async ({from, batch}) => {
-				this.#host?.receive(asId<DaemonId>(from), Buffer.from(batch, 'base64'));
-				return 0;
+			z.object({from: z.string(), batch: z.instanceof(Uint8Array)}),
+			({from, batch}) => {
+				this.#host?.receive(asId<DaemonId>(from), batch);
 			},
 		);
 		peers.handle('replication.status', z.object({}), async () => this.status());
@@ -254,17 +254,13 @@
 
 	async #deliver(peers: PeersService, to: DaemonId, batch: Uint8Array) {
 		try {
-			await peers.call(
+			await peers.post(
 				to,
 				'replication.deliver',
-				{
-					from: this.#context.settings.daemonId,
-					batch: Buffer.from(batch).toString('base64'),
-				},
-				{timeoutMs: 5000, channel: 'control'},
+				{from: this.#context.settings.daemonId, batch},
+				'control',
 			);
 		} catch (error) {
-			// The protocol repeats what is lost.
 			this.#context.logger.trace({
 				event: 'replication-message-lost',
 				peer: to,
--- /dev/null
+++ b/packages/transport/src/damaged-frames.test.ts
@@ -0,0 +1,174 @@
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {WebSocket, WebSocketServer} from 'ws';
+import {z} from 'zod';
+import {decodeFrame, encodeMessage, joinFrame} from './frame-codec.ts';
+import {PeerClient} from './peer-client.ts';
+import {createPeerRouter} from './peer-router.ts';
+import {PeerServer} from './peer-server.ts';
+
+const call = (id: number) =>
+	encodeMessage({
+		id,
+		method: 'mutation',
+		params: {path: 'echo.text', input: 'text'},
+	});
+
+const notRun = {
+	id: null,
+	error: {data: {body: {reason: 'invalid-input', verdict: 'not-run'}}},
+};
+
+describe('decodeFrame', () => {
+	const frame = joinFrame([call(1), call(2)]);
+
+	it('gives back all messages of a frame, with bytes as bytes', () => {
+		const message = {post: 'bytes', input: {batch: Buffer.from([0, 255])}};
+		expect(
+			decodeFrame(joinFrame([encodeMessage(message), encodeMessage([])])),
+		).toEqual([message, []]);
+	});
+
+	it('leaves out undefined fields, because schemas of optional fields refuse null', () => {
+		const [message] = decodeFrame(
+			joinFrame([encodeMessage({turn: undefined, text: 'a'})]),
+		);
+		expect(Object.keys(message as object)).toEqual(['text']);
+	});
+
+	it('refuses a frame that was cut off anywhere inside a message', () => {
+		// Guards against a partial message that is taken for a whole one.
+		const whole = new Set([frame.length - call(2).length, 1]);
+		for (let length = 0; length < frame.length; length++) {
+			const cut = frame.subarray(0, length);
+			if (whole.has(length)) {
+				expect(decodeFrame(cut).length).toBeLessThan(2);
+			} else {
+				expect(() => decodeFrame(cut)).toThrow(
+					expect.objectContaining({
+						reason: 'invalid-input',
+						verdict: 'not-run',
+					}),
+				);
+			}
+		}
+	});
+
+	it('refuses lengths far beyond the frame and unbounded nesting', () => {
+		// Guards against memory or stack that a few damaged bytes would claim.
+		for (const body of [
+			Buffer.from('ddffffffff', 'hex'),
+			Buffer.from('dfffffffff', 'hex'),
+			Buffer.from('c6ffffffff', 'hex'),
+			Buffer.alloc(1_000_000, 0x91),
+		]) {
+			expect(() => decodeFrame(joinFrame([body]))).toThrow(/damaged/v);
+		}
+	});
+
+	it('names the format of a frame of another version', () => {
+		expect(() => decodeFrame(Buffer.from('{"id":1}'))).toThrow(/format 123/v);
+	});
+});
+
+describe('PeerServer', () => {
+	let server: PeerServer;
+	let socket: WebSocket;
+	let runs: number;
+	let posted: string[];
+	let failedPosts: string[];
+	const nextMessage = async () => {
+		const [data] = (await once(socket, 'message')) as [Buffer];
+		return decodeFrame(data)[0];
+	};
+
+	beforeEach(async () => {
+		runs = 0;
+		posted = [];
+		failedPosts = [];
+		server = new PeerServer({
+			listen: {host: '127.0.0.1', port: 0},
+			maxMessageBytes: 1000,
+			router: createPeerRouter({
+				'echo.text': {
+					kind: 'call',
+					input: z.string(),
+					async run(text: string) {
+						runs++;
+						return text;
+					},
+				},
+			}),
+			posts: {note: {input: z.string(), run: (text) => posted.push(text)}},
+			onEvent(event) {
+				if (event.type === 'post-failed') {
+					failedPosts.push(event.path);
+				}
+			},
+		});
+		const port = await server.start();
+		socket = new WebSocket(`ws://127.0.0.1:${port}`);
+		await once(socket, 'open');
+	});
+
+	afterEach(async () => {
+		socket.terminate();
+		await server.stop();
+	});
+
+	it('runs nothing of a damaged frame, answers with a verdict and serves the next frame', async () => {
+		const frame = joinFrame([call(1), call(2)]);
+		socket.send(frame.subarray(0, -1));
+		expect(await nextMessage()).toMatchObject(notRun);
+		socket.send(JSON.stringify({id: 1}));
+		expect(await nextMessage()).toMatchObject(notRun);
+		expect(runs).toBe(0);
+		socket.send(joinFrame([call(3)]));
+		expect(await nextMessage()).toMatchObject({id: 3, result: {data: 'text'}});
+	});
+
+	it('closes the link on a frame above the size limit', async () => {
+		socket.on('error', () => undefined);
+		socket.send(Buffer.alloc(1000 + 65_537));
+		await once(socket, 'close');
+		expect(runs).toBe(0);
+	});
+
+	it('counts messages that nobody takes or that do not match, and goes on', async () => {
+		// Guards against a message without an answer that ends the process.
+		socket.send(
+			joinFrame([
+				encodeMessage({post: 'note', input: 1}),
+				encodeMessage({post: 'toString', input: 'a'}),
+				encodeMessage({post: 'note', input: 'b'}),
+				call(1),
+			]),
+		);
+		expect(await nextMessage()).toMatchObject({id: 1});
+		expect(posted).toEqual(['b']);
+		expect(failedPosts).toEqual(['note', 'toString']);
+	});
+});
+
+describe('PeerClient', () => {
+	it('replaces a link on which a damaged frame arrives; its calls fail as may-have-run', async () => {
+		const sockets = new WebSocketServer({host: '127.0.0.1', port: 0});
+		await once(sockets, 'listening');
+		sockets.on('connection', (socket) => {
+			socket.on('message', () => {
+				socket.send(joinFrame([call(1)]).subarray(0, -1));
+			});
+		});
+		const {port} = sockets.address() as AddressInfo;
+		const client = new PeerClient({address: `127.0.0.1:${port}`});
+		await expect(
+			client.call('echo.text', 'a', {timeoutMs: 5000}),
+		).rejects.toMatchObject({
+			reason: 'peer-link-lost',
+			verdict: 'may-have-run',
+		});
+		client.close();
+		sockets.close();
+	});
+});
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,4 +1,5 @@
 export {backoffDelay, type BackoffOptions} from './backoff-delay.ts';
+export {BinaryCodec} from './binary-codec.ts';
 export {
 	PeerClient,
 	type PeerClientEvent,
@@ -9,6 +10,7 @@
 	type CallProcedure,
 	createPeerRouter,
 	type PeerContext,
+	type PostProcedure,
 	type Procedures,
 	type StreamProcedure,
 } from './peer-router.ts';
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -124,6 +124,18 @@
 		return link.send('subscription', path, input, handlers);
 	}
 
+	/**
+	 * Sends a message that has no answer. It may be lost; the protocol above has to repeat it.
+	 *
+	 * @throws RefusedError when it was not sent.
+	 */
+	async post(path: string, input: unknown): Promise<void> {
+		const link =
+			this.#link ?? (await this.#openLink(this.#linkOptions.connectTimeoutMs));
+		this.#lastUsedMs = performance.now();
+		link.post(path, input);
+	}
+
 	/** Closes the link and refuses further calls. */
 	close(): void {
 		this.#closed = true;
--- a/packages/transport/src/peer-link.ts
+++ b/packages/transport/src/peer-link.ts
@@ -1,4 +1,5 @@
 import WebSocket from 'ws';
+import {decodeFrame, encodeMessage, joinFrame} from './frame-codec.ts';
 import {
 	errorFromWire,
 	peerLinkLost,
@@ -59,7 +60,8 @@
 	readonly #socket: WebSocket;
 	readonly #pending = new Map<number, PendingCall>();
 	readonly #opened: Promise<void>;
-	#queue: Array<{id: number; text: string}> = [];
+	/** Messages of the next flush; those without an id have no answer. */
+	#queue: Array<{id?: number; bytes: Uint8Array}> = [];
 	#nextId = 1;
 	#lastReceivedMs = performance.now();
 	#lastTickMs = performance.now();
@@ -101,16 +103,29 @@
 		handlers: CallHandlers,
 	): () => void {
 		const id = this.#nextId++;
-		const text = JSON.stringify({id, method, params: {path, input}});
-		this.#checkLimits(path, text);
+		const bytes = encodeMessage({id, method, params: {path, input}});
+		this.#checkLimits(path, bytes);
 		this.#pending.set(id, {path, method, handlers, written: false});
-		this.#queue.push({id, text});
+		this.#queue.push({id, bytes});
 		this.#scheduleFlush();
 		return () => {
 			this.#forget(id);
 		};
 	}
 
+	/**
+	 * Queues a message without an answer for the next flush. It is lost without notice when the link
+	 * breaks.
+	 *
+	 * @throws RefusedError when a limit is exceeded; nothing was sent.
+	 */
+	post(path: string, input: unknown): void {
+		const bytes = encodeMessage({post: path, input});
+		this.#checkLimits(path, bytes);
+		this.#queue.push({bytes});
+		this.#scheduleFlush();
+	}
+
 	/** Closes the link; pending calls fail. */
 	close(reason: CloseReason = 'released'): void {
 		this.#closeReason = reason;
@@ -132,8 +147,8 @@
 				}, this.#options.heartbeatMs);
 				resolve();
 			});
-			this.#socket.on('message', (data: Buffer) => {
-				this.#receive(data);
+			this.#socket.on('message', (data: Buffer, isBinary) => {
+				this.#receive(data, isBinary);
 			});
 			this.#socket.on('error', (error) => {
 				this.#closeReason = 'failed';
@@ -146,14 +161,11 @@
 		});
 	}
 
-	#checkLimits(path: string, text: string): void {
+	#checkLimits(path: string, {length}: Uint8Array): void {
 		const {maxMessageBytes, maxPendingCalls, maxBufferedBytes, address} =
 			this.#options;
-		if (
-			text.length > maxMessageBytes / 3 &&
-			Buffer.byteLength(text) > maxMessageBytes
-		) {
-			throw peerMessageTooLarge(path, Buffer.byteLength(text), maxMessageBytes);
+		if (length > maxMessageBytes) {
+			throw peerMessageTooLarge(path, length, maxMessageBytes);
 		}
 
 		if (this.#pending.size >= maxPendingCalls) {
@@ -180,59 +192,60 @@
 			return;
 		}
 
-		let batch: string[] = [];
+		let batch: Uint8Array[] = [];
 		let sizeBytes = 0;
 		const write = () => {
 			if (batch.length > 0) {
-				this.#socket.send(
-					batch.length === 1 ? batch[0]! : `[${batch.join(',')}]`,
-				);
+				this.#socket.send(joinFrame(batch));
 			}
 
 			batch = [];
 			sizeBytes = 0;
 		};
 
-		for (const {id, text} of this.#queue) {
-			const call = this.#pending.get(id);
-			if (!call) {
-				continue;
+		for (const {id, bytes} of this.#queue) {
+			if (id !== undefined) {
+				const call = this.#pending.get(id);
+				if (!call) {
+					continue;
+				}
+
+				call.written = true;
 			}
 
-			call.written = true;
-			if (sizeBytes + text.length > this.#options.maxBatchBytes) {
+			if (sizeBytes + bytes.length > this.#options.maxBatchBytes) {
 				write();
 			}
 
-			batch.push(text);
-			sizeBytes += text.length;
+			batch.push(bytes);
+			sizeBytes += bytes.length;
 		}
 
 		this.#queue = [];
 		write();
 	}
 
-	#receive(data: Buffer): void {
+	#receive(data: Buffer, isBinary: boolean): void {
 		this.#lastReceivedMs = performance.now();
-		const text = data.toString();
-		if (text === 'PONG') {
-			return;
-		}
+		if (!isBinary) {
+			if (data.toString() === 'PING') {
+				this.#socket.send('PONG');
+			}
 
-		if (text === 'PING') {
-			this.#socket.send('PONG');
 			return;
 		}
 
-		let message: ServerMessage;
+		let messages: ServerMessage[];
 		try {
-			message = JSON.parse(text) as ServerMessage;
+			messages = decodeFrame(data) as ServerMessage[];
 		} catch {
 			this.close('failed');
 			return;
 		}
 
-		this.#dispatch(message);
+		for (const message of messages) {
+			this.#dispatch(message);
+		}
 	}
 
 	#dispatch({id, result, error}: ServerMessage): void {
@@ -267,7 +280,9 @@
 			call.written &&
 			this.#socket.readyState === WebSocket.OPEN
 		) {
-			this.#socket.send(JSON.stringify({id, method: 'subscription.stop'}));
+			this.#socket.send(
+				joinFrame([encodeMessage({id, method: 'subscription.stop'})]),
+			);
 		}
 	}
 
--- a/packages/transport/src/peer-router.ts
+++ b/packages/transport/src/peer-router.ts
@@ -29,9 +29,24 @@
 	) => AsyncGenerator;
 };
 
+/** A message without an answer; an error is counted by the server and not reported to the sender. */
+export type PostProcedure = {
+	input: ZodType;
+	run: (input: never) => void;
+};
+
 export type Procedures = Record<string, CallProcedure | StreamProcedure>;
 
-const parseInput = (path: string, schema: ZodType, raw: unknown): never => {
+/**
+ * Checks the input of a procedure.
+ *
+ * @throws ValidationError when the input does not match.
+ */
+export const parseInput = (
+	path: string,
+	schema: ZodType,
+	raw: unknown,
+): never => {
 	const parsed = schema.safeParse(raw);
 	if (!parsed.success) {
 		const found = z.prettifyError(parsed.error).replaceAll('\n', ' ');
--- a/packages/transport/src/peer-server.ts
+++ b/packages/transport/src/peer-server.ts
@@ -1,13 +1,16 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
-import {type Socket, type AddressInfo} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import type {AnyRouter} from '@trpc/server';
 import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
 import {type WebSocket, WebSocketServer} from 'ws';
-import type {PeerContext} from './peer-router.ts';
+import {PeerConnection, type PeerConnectionEvent} from './peer-connection.ts';
+import type {PeerContext, PostProcedure} from './peer-router.ts';
 
 export type PeerServerOptions = {
 	listen: {host: string; port: number};
 	router: AnyRouter;
+	/** Messages without an answer. */
+	posts?: Record<string, PostProcedure>;
 	maxMessageBytes?: number;
 	maxBatchSize?: number;
 	/** Unsent bytes above which streams to a slow peer pause. */
@@ -16,7 +19,7 @@
 	maxBufferedBytes?: number;
 	/** Silence of a peer after which its link is closed. */
 	silenceMs?: number;
-	onEvent?: (event: {type: 'slow-peer-closed'; unsentBytes: number}) => void;
+	onEvent?: (event: PeerConnectionEvent) => void;
 };
 
 /**
@@ -48,19 +51,8 @@
 
 	/** Listens and returns the port. */
 	async start(): Promise<number> {
-		const silenceMs = this.#options.silenceMs ?? 3000;
-		const serve = getWSConnectionHandler({
-			wss: this.#sockets,
-			router: this.#options.router,
-			maxBatchSize: this.#options.maxBatchSize ?? 10_000,
-			createContext: ({res}): PeerContext => ({
-				writable: async () => this.#waitUntilWritable(res),
-			}),
-			keepAlive: {enabled: true, pingMs: silenceMs, pongWaitMs: silenceMs},
-		});
 		this.#sockets.on('connection', (client, request) => {
-			this.#bound(client, request);
-			serve(client, request);
+			this.#serve(client, request);
 		});
 		const {host, port} = this.#options.listen;
 		await new Promise<void>((resolve, reject) => {
@@ -90,40 +82,36 @@
 		});
 	}
 
-	/** Joins the frames of one event-loop turn into one write and closes links that do not read. */
-	#bound(client: WebSocket, request: IncomingMessage): void {
-		const {socket}: {socket: Socket} = request;
-		const limitBytes = this.#options.maxBufferedBytes ?? 64 * 1024 * 1024;
-		const send = client.send.bind(client) as (data: string | Buffer) => void;
-		let corked = false;
-		client.send = (data: unknown) => {
-			if (client.bufferedAmount > limitBytes) {
-				this.#options.onEvent?.({
-					type: 'slow-peer-closed',
-					unsentBytes: client.bufferedAmount,
-				});
-				client.terminate();
-				return;
-			}
-
-			if (!corked) {
-				corked = true;
-				socket.cork();
-				setImmediate(() => {
-					corked = false;
-					socket.uncork();
-				});
-			}
-
-			send(data as string);
-		};
+	#serve(client: WebSocket, request: IncomingMessage): void {
+		const options = this.#options;
+		const silenceMs = options.silenceMs ?? 3000;
+		const connection = new PeerConnection(client, request.socket, {
+			maxBufferedBytes: options.maxBufferedBytes ?? 64 * 1024 * 1024,
+			maxBatchBytes: 64 * 1024,
+			posts: options.posts ?? {},
+			onEvent: options.onEvent,
+		});
+		const serve = getWSConnectionHandler({
+			wss: this.#sockets,
+			router: options.router,
+			maxBatchSize: options.maxBatchSize ?? 10_000,
+			createContext: (): PeerContext => ({
+				writable: async () => this.#waitUntilWritable(client, connection),
+			}),
+			keepAlive: {enabled: true, pingMs: silenceMs, pongWaitMs: silenceMs},
+			experimental_encoder: connection,
+		});
+		serve(client, request);
 	}
 
-	async #waitUntilWritable(client: WebSocket): Promise<void> {
+	async #waitUntilWritable(
+		client: WebSocket,
+		connection: PeerConnection,
+	): Promise<void> {
 		const highWaterBytes = this.#options.highWaterBytes ?? 256 * 1024;
 		while (
 			client.readyState === client.OPEN &&
-			client.bufferedAmount > highWaterBytes
+			connection.unsentBytes > highWaterBytes
 		) {
 			await new Promise((resolve) => {
 				setTimeout(resolve, 10);
