Pack program records and index what is due in them

Cause: a record of 20 turns took 1,851 B of heap, mostly an object with 25 fields, its numbers and its open call, and fixed rows of 15 B per history entry and 19 B per request record.

A program is now one string with a character per byte; a step unpacks the ones that it changes and packs them at its end. Callers and labels are stored once and counted. History entries are stored as the gap after the previous entry, length and hash.

Ruled out: 600 B at 20 turns and 2,500 B at 200 turns with all hashes in memory. At 200 turns the 401 entries have 1,604 B of hashes and 802 B of lengths, and the records of 50 non-idempotent calls 950 B. The index of old entries would have to move to the disk.

The fault now replaces the records by as many forgotten ids, so that the check itself must notice it. assert-program.test.ts damages the copy of an edited program. Only edited programs are asserted after a step: the others are immutable and were checked when they were packed.

--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -1,5 +1,6 @@
 import {
 	type CancelledCall,
+	isExpiryDue,
 	type OpenCallDescription,
 	openCarves,
 	openIntents,
@@ -19,6 +20,8 @@
 
 /** Age from which an open call without progress reports is checked at its dispatcher. */
 const checkAfterMs = 3000;
+/** Age from which an open call is checked whose dispatcher is not a live member any more. */
+const goneAfterMs = 1000;
 /** Age from which a carved budget without a sub-agent is given back. */
 const carveCheckMs = 30_000;
 const releaseTimeoutMs = 2000;
@@ -156,25 +159,11 @@
 	/** Proposes an expiry only when something is due, so that idle shards write no log. */
 	async #expire(state: ProgramsState, shard: number): Promise<void> {
 		const nowMs = this.#core.shardTimeMs(shard);
-		const {callGraceMs, tombstoneRetentionMs} = state.limits;
 		// A replica that restarts learns the time from the log, so the log must not stand still for long.
-		let isDue =
-			state.programs.size > 0 && nowMs - state.clockMs >= clockEntryIntervalMs;
-		for (const {
-			call,
-			endedAtMs,
-			deadlineMs,
-			holds,
-		} of state.programs.values()) {
-			isDue ||=
-				endedAtMs === undefined
-					? nowMs >= deadlineMs ||
-						(call !== undefined &&
-							nowMs >= call.attemptAtMs + call.timeoutMs + callGraceMs)
-					: holds.length === 0 &&
-						nowMs - endedAtMs > tombstoneRetentionMs + 60_000;
-		}
-
+		const isDue =
+			isExpiryDue(state, nowMs) ||
+			(state.programs.size > 0 &&
+				nowMs - state.clockMs >= clockEntryIntervalMs);
 		if (!isDue) {
 			return;
 		}
@@ -191,14 +180,14 @@
 	async #checkIntents(state: ProgramsState): Promise<void> {
 		const nowMs = this.#core.shardTimeMs(state.shard);
 		const {members, hasLease} = this.#core.configuration;
-		const suspects = openIntents(state).filter((call) => {
+		const suspects = openIntents(state, nowMs - goneAfterMs).filter((call) => {
 			const key = attemptKey({...call, attempt: call.intent.attempt});
 			const isGone =
 				hasLease &&
 				members.get(call.dispatcherId)?.incarnation !==
 					call.dispatcherIncarnation;
 			const seenMs = this.#checkedMs.get(key) ?? call.attemptAtMs;
-			const isDue = nowMs - seenMs > (isGone ? 1000 : checkAfterMs);
+			const isDue = nowMs - seenMs > (isGone ? goneAfterMs : checkAfterMs);
 			if (isDue) {
 				this.#checkedMs.set(key, nowMs);
 			}
--- a/packages/programs/src/accept-call.ts
+++ b/packages/programs/src/accept-call.ts
@@ -1,7 +1,6 @@
 import {freeTokens, freeTurns, isAmount} from './budget.ts';
 import {describeCall, describeRecord} from './describe-call.ts';
 import {endProgram} from './end-program.ts';
-import {countEntries} from './history-entries.ts';
 import {
 	appendRecord,
 	countForgotten,
@@ -119,7 +118,7 @@
 	}
 
 	// Two more entries must fit: the answer and, after a cancellation, its message.
-	const entryCount = countEntries(program.entries) + command.messages.length;
+	const entryCount = program.entryCount + command.messages.length;
 	return sizeBytes > context.state.limits.historySizeBytes ||
 		entryCount + 2 >= MAX_ENTRIES
 		? {
@@ -204,7 +203,7 @@
 	program: Program,
 	command: AcceptCall,
 ): ProgramResult => {
-	const entriesBefore = countEntries(program.entries);
+	const entriesBefore = program.entryCount;
 	for (const message of command.messages) {
 		appendHistory(context, program, message);
 	}
@@ -233,7 +232,7 @@
 	context: StepContext,
 	command: AcceptCall,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program) {
 		// The program may have ended and been dropped, so the request may have run.
 		return {
--- a/packages/programs/src/assert-program.test.ts
+++ b/packages/programs/src/assert-program.test.ts
@@ -55,7 +55,7 @@
 const createDamaged = (damage: (program: Program) => void): ProgramsState => {
 	let {state} = stepPrograms(createProgramsState(0), openCommand({}));
 	({state} = stepPrograms(state, acceptCommand({})));
-	damage(state.programs.get(asId<ProgramId>('p0-a'))!);
+	damage(state.programs.edit(asId<ProgramId>('p0-a'))!);
 	return state;
 };
 
--- a/packages/programs/src/carve-budget.ts
+++ b/packages/programs/src/carve-budget.ts
@@ -87,7 +87,7 @@
 	context: StepContext,
 	command: CarveBudget,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program) {
 		return refuseUnknown(command.programId);
 	}
@@ -123,7 +123,7 @@
 	context: StepContext,
 	command: CommandOf<'return-budget'>,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	const carve = program?.carves?.find(
 		(candidate) => candidate.childId === command.childId,
 	);
--- a/packages/programs/src/describe-call.ts
+++ b/packages/programs/src/describe-call.ts
@@ -43,7 +43,7 @@
 					message: '',
 				},
 		...(record.entryIndex !== undefined && {
-			answer: readEntry(program.entries, state.texts, record.entryIndex),
+			answer: readEntry(program, state.texts, record.entryIndex),
 		}),
 	};
 };
--- a/packages/programs/src/encode-programs.ts
+++ b/packages/programs/src/encode-programs.ts
@@ -1,62 +1,20 @@
-import type {ProgramId} from '@marjoramcove/types';
 import {ValidationError} from '@marjoramcove/errors';
-import {shareText} from './share-text.ts';
-import type {Program, ProgramsState} from './state.ts';
-
-const FORMAT = 1;
-
-/** Fields of a program in the order of its row; packed rows are written as base64. */
-const FIELDS = [
-	'id',
-	'callerId',
-	'labels',
-	'parentId',
-	'openHash',
-	'operationKey',
-	'tokenLimit',
-	'spentTokens',
-	'carvedTokens',
-	'turnLimit',
-	'spentTurns',
-	'carvedTurns',
-	'deadlineMs',
-	'nextTurn',
-	'historyBytes',
-	'cachedTokens',
-	'records',
-	'forgotten',
-	'entries',
-	'call',
-	'holds',
-	'carves',
-	'endedReason',
-	'endedAtMs',
-	'returnPending',
-] as const satisfies ReadonlyArray<keyof Program>;
-
-type MissingField = Exclude<keyof Program, (typeof FIELDS)[number]>;
-// A field that is not listed would be lost by a snapshot; the type then is not assignable.
-const noMissingField: [MissingField] extends [never] ? true : MissingField =
-	true;
-
-/** Fields that hold packed rows. */
-const PACKED = new Set<keyof Program>(['records', 'forgotten', 'entries']);
-
-const encodeField = (field: keyof Program, value: unknown): unknown =>
-	PACKED.has(field)
-		? Buffer.from(value as string, 'latin1').toString('base64')
-		: value;
+import type {ProgramId} from '@marjoramcove/types';
+import {ByteReader, ByteWriter} from './byte-writer.ts';
+import {ProgramTable} from './program-table.ts';
+import type {ProgramsState} from './state.ts';
 
-const decodeField = (field: keyof Program, value: unknown): unknown => {
-	if (PACKED.has(field)) {
-		return Buffer.from(value as string, 'base64').toString('latin1');
-	}
+const FORMAT = 2;
 
-	return typeof value === 'string' ? shareText(value) : (value ?? undefined);
+type Header = Omit<ProgramsState, 'programs' | 'operations'> & {
+	format: number;
+	sharedTexts: Array<string | null>;
+	/** Number of programs; a shorter snapshot is damaged. */
+	count: number;
 };
 
 /**
- * Encodes a state as a compact snapshot: JSON with one row per program, without field names.
+ * Encodes a state as a compact snapshot: a line of JSON, then the packed programs with their ids.
  *
  * @example
  * ```ts
@@ -65,51 +23,73 @@
  */
 export const encodePrograms = (state: ProgramsState): Uint8Array => {
 	const {programs, operations, ...rest} = state;
-	return Buffer.from(
-		JSON.stringify({
-			format: FORMAT,
-			...rest,
-			programs: Array.from(programs.values(), (program) =>
-				FIELDS.map((field) => encodeField(field, program[field])),
-			),
-		}),
-	);
+	const header: Header = {
+		format: FORMAT,
+		...rest,
+		sharedTexts: programs.sharedTexts,
+		count: programs.size,
+	};
+	const writer = new ByteWriter();
+	for (const [programId, row] of programs.rows()) {
+		writer.writeText(programId);
+		writer.writePacked(row);
+	}
+
+	return Buffer.concat([
+		Buffer.from(`${JSON.stringify(header)}\n`),
+		writer.finishBytes(),
+	]);
 };
 
-const decodeProgram = (row: unknown[]): Program =>
-	Object.fromEntries(
-		FIELDS.map((field, index) => [field, decodeField(field, row[index])]),
-	) as Program;
+const readHeader = (bytes: Uint8Array): {header: Header; end: number} => {
+	const lineEnd = bytes.indexOf(10);
+	const end = lineEnd === -1 ? bytes.length : lineEnd;
+	const header = JSON.parse(
+		Buffer.from(bytes.subarray(0, end)).toString('utf8'),
+	) as Header;
+	if (header.format !== FORMAT) {
+		throw new ValidationError(
+			`The snapshot has format ${header.format}; this version reads format ${FORMAT}.`,
+			'Use the version of the daemon that wrote the snapshot.',
+		);
+	}
+
+	return {header, end};
+};
 
 /**
  * Decodes a snapshot.
  *
- * @throws ValidationError when the snapshot has another format.
+ * @throws ValidationError when the snapshot has another format or ends too early.
  */
 export const decodePrograms = (bytes: Uint8Array): ProgramsState => {
-	const {format, programs, ...rest} = JSON.parse(
-		Buffer.from(bytes).toString('utf8'),
-	) as Omit<ProgramsState, 'programs' | 'operations'> & {
-		format: number;
-		programs: unknown[][];
-	};
-	if (format !== FORMAT || !noMissingField) {
+	const {header, end} = readHeader(bytes);
+	const {format: _, sharedTexts, count, ...rest} = header;
+	const programs = new ProgramTable();
+	programs.restoreTexts(sharedTexts);
+	const operations = new Map<string, ProgramId>();
+	const packed = Buffer.from(
+		bytes.buffer,
+		bytes.byteOffset,
+		bytes.byteLength,
+	).toString('latin1');
+	const reader = new ByteReader(packed, end + 1);
+	while (!reader.isAtEnd) {
+		const programId = reader.readText() as ProgramId;
+		// A flat copy: a slice would keep the whole snapshot in memory.
+		const row = Buffer.from(reader.readPacked(), 'latin1').toString('latin1');
+		const {operationKey} = programs.restore(programId, row);
+		if (operationKey !== undefined) {
+			operations.set(operationKey, programId);
+		}
+	}
+
+	if (programs.size !== count) {
 		throw new ValidationError(
-			`The snapshot has format ${format}; this version reads format ${FORMAT}.`,
-			'Use the version of the daemon that wrote the snapshot.',
+			`The snapshot has ${programs.size} of ${count} programs.`,
+			'Copy the snapshot from another replica.',
 		);
 	}
 
-	const decoded = programs.map((row) => decodeProgram(row));
-	return {
-		...rest,
-		programs: new Map(decoded.map((program) => [program.id, program])),
-		operations: new Map(
-			decoded.flatMap((program): Array<[string, ProgramId]> =>
-				program.operationKey === undefined
-					? []
-					: [[program.operationKey, program.id]],
-			),
-		),
-	};
+	return {...rest, programs, operations};
 };
--- a/packages/programs/src/end-program.ts
+++ b/packages/programs/src/end-program.ts
@@ -85,7 +85,7 @@
 	context: StepContext,
 	command: CommandOf<'end-program'>,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program) {
 		return refuseUnknown(command.programId);
 	}
--- a/packages/programs/src/expire-programs.ts
+++ b/packages/programs/src/expire-programs.ts
@@ -1,14 +1,9 @@
+import type {ProgramId} from '@marjoramcove/types';
 import {cancelCall, endProgram} from './end-program.ts';
 import type {CancelledCall, ProgramResult} from './results.ts';
-import type {Program, ProgramsState} from './state.ts';
+import {isHolding, type Program, type ProgramsState} from './state.ts';
 import type {StepContext} from './step-context.ts';
 
-/** Whether an ended program still has something that another process must confirm. */
-export const isHolding = (program: Program): boolean =>
-	program.holds.length > 0 ||
-	program.returnPending === true ||
-	(program.carves?.some((carve) => !carve.returned) ?? false);
-
 const isDroppable = (
 	state: ProgramsState,
 	program: Program,
@@ -27,7 +22,7 @@
 
 /** Reason with which an open call is settled when its dispatcher did not do so in time. */
 const findTimeout = (
-	{state, nowMs}: StepContext,
+	{state, nowMs}: Pick<StepContext, 'nowMs' | 'state'>,
 	{call}: Program,
 ): string | undefined => {
 	if (
@@ -40,6 +35,53 @@
 	return call.kind === 'tool' ? 'tool-timeout' : 'call-timeout';
 };
 
+/** Drops the tombstones that are old enough; returns their number. */
+const dropTombstones = ({state, nowMs}: StepContext): number => {
+	const {programs, limits} = state;
+	let dropped = 0;
+	for (const programId of programs.tombstones.take(
+		nowMs - limits.tombstoneRetentionMs,
+	)) {
+		const program = programs.get(programId);
+		if (program && isDroppable(state, program, nowMs)) {
+			dropProgram(state, program);
+			dropped++;
+		} else if (program?.endedAtMs !== undefined && !isHolding(program)) {
+			programs.tombstones.add(programId, program.endedAtMs);
+		}
+	}
+
+	return dropped;
+};
+
+/** Whether the wall time of an open program is used up. */
+const isPastDeadline = (program: Program, nowMs: number): boolean =>
+	program.endedReason === undefined && nowMs >= program.deadlineMs;
+
+/** Takes the programs with something due; one that is due later in the same second is put back. */
+const takeDue = (context: StepContext): ProgramId[] => {
+	const {state, nowMs} = context;
+	const {programs, limits} = state;
+	const due = new Set<ProgramId>();
+	for (const programId of programs.deadlines.take(nowMs)) {
+		const program = programs.get(programId);
+		if (program && isPastDeadline(program, nowMs)) {
+			due.add(programId);
+		} else if (program?.endedReason === undefined && program) {
+			programs.deadlines.add(programId, program.deadlineMs);
+		}
+	}
+
+	for (const programId of programs.listTimeouts(nowMs - limits.callGraceMs)) {
+		if (findTimeout(context, programs.get(programId)!)) {
+			due.add(programId);
+		}
+	}
+
+	// The order of the ids is the same on all replicas, also after a restored snapshot.
+	return [...due].sort((a, b) => (a < b ? -1 : 1));
+};
+
 /**
  * Applies `expire-programs`: ends programs whose wall time is used up, settles calls that are open
  * past their timeout, and drops old tombstones that hold nothing.
@@ -48,16 +90,12 @@
 	const {state, nowMs} = context;
 	const ended = [];
 	const cancelled: CancelledCall[] = [];
-	let dropped = 0;
-	for (const program of state.programs.values()) {
-		if (program.endedReason !== undefined) {
-			if (isDroppable(state, program, nowMs)) {
-				dropProgram(state, program);
-				dropped++;
-			}
-		} else if (nowMs >= program.deadlineMs) {
+	const dropped = dropTombstones(context);
+	for (const programId of takeDue(context)) {
+		const program = state.programs.edit(programId)!;
+		if (nowMs >= program.deadlineMs) {
 			cancelled.push(...endProgram(context, program, 'wall-time-limit'));
-			ended.push({programId: program.id, reason: 'wall-time-limit'});
+			ended.push({programId, reason: 'wall-time-limit'});
 		} else {
 			const reason = findTimeout(context, program);
 			if (reason) {
@@ -68,3 +106,40 @@
 
 	return {outcome: 'expired', ended, cancelled, dropped};
 };
+
+/** Time by which old tombstones may be late, so that they are dropped together. */
+const TOMBSTONE_SLACK_MS = 60_000;
+
+/**
+ * Whether an `expire-programs` at this time would change something. Only programs of which something
+ * may be due are looked at.
+ *
+ * @example
+ * ```ts
+ * if (isExpiryDue(state, nowMs)) propose({type: 'expire-programs', nowMs});
+ * ```
+ */
+export const isExpiryDue = (state: ProgramsState, nowMs: number): boolean => {
+	const {programs, limits} = state;
+	const isAnyDue = (
+		programIds: ProgramId[],
+		isDue: (program: Program) => boolean,
+	): boolean =>
+		programIds.some((programId) => {
+			const program = programs.get(programId);
+			return program !== undefined && isDue(program);
+		});
+
+	return (
+		isAnyDue(programs.deadlines.list(nowMs), (program) =>
+			isPastDeadline(program, nowMs),
+		) ||
+		isAnyDue(
+			programs.listTimeouts(nowMs - limits.callGraceMs),
+			(program) => findTimeout({state, nowMs}, program) !== undefined,
+		) ||
+		programs.tombstones.list(
+			nowMs - limits.tombstoneRetentionMs - TOMBSTONE_SLACK_MS,
+		).length > 0
+	);
+};
--- a/packages/programs/src/history-entries.ts
+++ b/packages/programs/src/history-entries.ts
@@ -1,6 +1,7 @@
+import {ByteReader, ByteWriter} from './byte-writer.ts';
 import type {HistoryText} from './commands.ts';
 import {hashText32} from './hash.ts';
-import {appendRows, countRows, readRow} from './packed-rows.ts';
+import type {Program} from './state.ts';
 import {internText, type TextTable} from './text-table.ts';
 
 /** Where the text of one history entry is in the history stream of the shard. */
@@ -13,8 +14,8 @@
 	hash: string;
 };
 
-const ROW_BYTES = 15;
-const OFFSET_BYTES = 6;
+/** Roles are among the first texts of the table; see `text-table.ts`. */
+const ROLE_CODES = 8;
 
 /** Largest content of one entry. */
 export const MAX_ENTRY_BYTES = 2 ** 32 - 1;
@@ -37,50 +38,96 @@
 const formatHash = (hash: number): string =>
 	(hash < 0 ? hash + 2 ** 32 : hash).toString(16).padStart(8, '0');
 
-/** Appends an entry to packed rows. */
+/** The packed entries of a program. Each begins where its gap after the previous one says. */
+export type EntryLog = Pick<Program, 'entries' | 'entryCount' | 'entriesEnd'>;
+
+const writer = new ByteWriter();
+
+/** Appends an entry. */
 export const appendEntry = (
-	rows: string,
+	log: EntryLog,
 	texts: TextTable,
 	text: HistoryText,
 	offset: number,
-): string => {
-	const row = Buffer.alloc(ROW_BYTES);
-	row.writeUIntLE(offset, 0, OFFSET_BYTES);
-	row.writeUInt32LE(Buffer.byteLength(text.content), 6);
-	row.writeInt32LE(hashText32(text.content), 10);
-	row.writeUInt8(internText(texts, text.role), 14);
-	return appendRows(rows, row);
+): void => {
+	const lengthBytes = Buffer.byteLength(text.content);
+	const role = internText(texts, text.role);
+	if (role >= ROLE_CODES) {
+		throw new RangeError(`The role ${text.role} is not a role of entries.`);
+	}
+
+	writer.writeNumber((offset - log.entriesEnd) * ROLE_CODES + role);
+	writer.writeNumber(lengthBytes);
+	writer.writeHash(hashText32(text.content));
+	log.entries += writer.finish();
+	log.entryCount++;
+	log.entriesEnd = offset + lengthBytes;
+};
+
+/** Reads the entry at the position of the reader; `end` is the offset after the previous one. */
+const readNext = (
+	reader: ByteReader,
+	texts: TextTable,
+	end: number,
+): HistoryEntry => {
+	const head = reader.readNumber();
+	return {
+		role: texts[head % ROLE_CODES]!,
+		offset: end + Math.floor(head / ROLE_CODES),
+		lengthBytes: reader.readNumber(),
+		hash: formatHash(reader.readHash()),
+	};
 };
 
-/** Number of entries in packed rows. */
-export const countEntries = (rows: string): number =>
-	countRows(rows, ROW_BYTES);
+/** Skips an entry; returns the offset after it. */
+const skipNext = (reader: ByteReader, end: number): number => {
+	const offset = end + Math.floor(reader.readNumber() / ROLE_CODES);
+	const lengthBytes = reader.readNumber();
+	reader.skipHash();
+	return offset + lengthBytes;
+};
 
-/** Reads one entry from packed rows. */
+/** Reads all entries, the oldest first. */
+export const readEntries = (
+	{entries}: Pick<EntryLog, 'entries'>,
+	texts: TextTable,
+): HistoryEntry[] => {
+	const reader = new ByteReader(entries);
+	const found: HistoryEntry[] = [];
+	let end = 0;
+	while (!reader.isAtEnd) {
+		const entry = readNext(reader, texts, end);
+		end = entry.offset + entry.lengthBytes;
+		found.push(entry);
+	}
+
+	return found;
+};
+
+/** Reads one entry. */
 export const readEntry = (
-	rows: string,
+	{entries}: Pick<EntryLog, 'entries'>,
 	texts: TextTable,
 	index: number,
 ): HistoryEntry => {
-	const row = readRow(rows, ROW_BYTES, index);
-	return {
-		role: texts[row.readUInt8(14)]!,
-		offset: row.readUIntLE(0, OFFSET_BYTES),
-		lengthBytes: row.readUInt32LE(6),
-		hash: formatHash(row.readInt32LE(10)),
-	};
+	const reader = new ByteReader(entries);
+	let end = 0;
+	for (let skipped = 0; skipped < index; skipped++) {
+		end = skipNext(reader, end);
+	}
+
+	return readNext(reader, texts, end);
 };
 
-/** Rows from `start` to before `end`. */
-export const sliceEntries = (
-	rows: string,
-	start: number,
-	end?: number,
-): string =>
-	Buffer.from(
-		rows.slice(
-			start * ROW_BYTES,
-			end === undefined ? undefined : end * ROW_BYTES,
-		),
-		'latin1',
-	).toString('latin1');
+/** Keeps only the oldest entries. */
+export const keepEntries = (log: EntryLog, count: number): void => {
+	const reader = new ByteReader(log.entries);
+	let end = 0;
+	for (let index = 0; index < count; index++) {
+		end = skipNext(reader, end);
+	}
+
+	log.entries = log.entries.slice(0, reader.position);
+	log.entryCount = count;
+	log.entriesEnd = end;
+};
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -5,6 +5,7 @@
 	hashHistoryContent,
 	type HistoryEntry,
 } from './history-entries.ts';
+export {isExpiryDue} from './expire-programs.ts';
 export {programOfShard} from './program-id.ts';
 export * from './queries.ts';
 export type * from './results.ts';
--- a/packages/programs/src/open-program.ts
+++ b/packages/programs/src/open-program.ts
@@ -65,6 +65,8 @@
 	records: '',
 	forgotten: '',
 	entries: '',
+	entryCount: 0,
+	entriesEnd: 0,
 	call: undefined,
 	holds: [],
 	carves: undefined,
@@ -135,10 +137,13 @@
 	}
 
 	const {tokens, turns, wallTimeMs} = command.budget;
-	if (![tokens, turns, wallTimeMs].every((amount) => isAmount(amount))) {
+	if (
+		![tokens, turns, wallTimeMs].every((amount) => isAmount(amount)) ||
+		!Number.isSafeInteger(command.deadlineMs ?? 0)
+	) {
 		return refuse(
 			'invalid-input',
-			'Each part of the budget must be a whole number that is not negative.',
+			'Each part of the budget must be a whole number that is not negative, and the deadline a whole number.',
 		);
 	}
 
@@ -150,7 +155,7 @@
 	}
 
 	const program = createProgram(command, nowMs);
-	state.programs.set(program.id, program);
+	state.programs.add(program);
 	if (program.operationKey !== undefined) {
 		state.operations.set(program.operationKey, program.id);
 	}
--- a/packages/programs/src/queries.ts
+++ b/packages/programs/src/queries.ts
@@ -1,10 +1,9 @@
 import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 import {describeCall, describeRecord} from './describe-call.ts';
-import {isHolding} from './expire-programs.ts';
-import {countEntries, type HistoryEntry, readEntry} from './history-entries.ts';
+import {type HistoryEntry, readEntries, readEntry} from './history-entries.ts';
 import {findRecord} from './request-records.ts';
 import type {OpenCallDescription, RequestRecord} from './results.ts';
-import type {Program, ProgramsState} from './state.ts';
+import {isHolding, type Program, type ProgramsState} from './state.ts';
 
 /** Public description of a program. */
 export type ProgramDescription = {
@@ -111,30 +110,45 @@
 ): HistoryEntry[] => {
 	const program = state.programs.get(programId);
 	return program
-		? Array.from({length: countEntries(program.entries)}, (_, index) =>
-				readEntry(program.entries, state.texts, index),
-			).filter((entry) => entry.role !== 'error')
+		? readEntries(program, state.texts).filter(
+				(entry) => entry.role !== 'error',
+			)
 		: [];
 };
 
-/** Open calls with their intents, for the periodic check against the live daemons. */
-export const openIntents = (state: ProgramsState): OpenCallDescription[] =>
-	[...state.programs.values()].flatMap((program) =>
-		program.call ? [describeCall(program, program.call)] : [],
+const readPrograms = (
+	state: ProgramsState,
+	programIds: Iterable<ProgramId>,
+): Program[] =>
+	Array.from(programIds, (programId) => state.programs.get(programId)!);
+
+/**
+ * Open calls with their intents, for the periodic check against the live daemons.
+ *
+ * @param beforeMs - only attempts that were recorded before this time. Default: all.
+ */
+export const openIntents = (
+	state: ProgramsState,
+	beforeMs = Number.POSITIVE_INFINITY,
+): OpenCallDescription[] => {
+	return readPrograms(state, state.programs.openCalls.keys()).flatMap(
+		(program) =>
+			program.call!.attemptAtMs < beforeMs
+				? [describeCall(program, program.call!)]
+				: [],
 	);
+};
 
 /** Holds of ended programs; each is to be released at its engine until the engine confirms. */
 export const pendingReleases = (
 	state: ProgramsState,
 ): Array<{programId: ProgramId; upstreamId: UpstreamId; heldTurn: number}> =>
-	[...state.programs.values()].flatMap((program) =>
-		program.endedReason === undefined
-			? []
-			: program.holds.map(({upstreamId, turn}) => ({
-					programId: program.id,
-					upstreamId,
-					heldTurn: turn,
-				})),
+	readPrograms(state, state.programs.releasing).flatMap((program) =>
+		program.holds.map(({upstreamId, turn}) => ({
+			programId: program.id,
+			upstreamId,
+			heldTurn: turn,
+		})),
 	);
 
 /** Ended sub-agents whose spending the parent's shard has not confirmed; input of `return-budget`. */
@@ -146,7 +160,7 @@
 	spentTokens: number;
 	spentTurns: number;
 }> =>
-	[...state.programs.values()].flatMap((program) =>
+	readPrograms(state, state.programs.returning).flatMap((program) =>
 		program.returnPending && !program.carves?.some((carve) => !carve.returned)
 			? [
 					{
@@ -163,7 +177,7 @@
 export const openCarves = (
 	state: ProgramsState,
 ): Array<{programId: ProgramId; childId: ProgramId; parentEnded: boolean}> =>
-	[...state.programs.values()].flatMap((program) =>
+	readPrograms(state, state.programs.carving).flatMap((program) =>
 		(program.carves ?? [])
 			.filter((carve) => !carve.returned)
 			.map(({childId}) => ({
@@ -188,12 +202,9 @@
 /** First byte of the history stream that a program still refers to; older segments can be deleted. */
 export const historyFloor = (state: ProgramsState): number => {
 	let floor = state.historyLengthBytes;
-	for (const program of state.programs.values()) {
-		if (program.entries !== '') {
-			floor = Math.min(
-				floor,
-				readEntry(program.entries, state.texts, 0).offset,
-			);
+	for (const program of readPrograms(state, state.programs.keys())) {
+		if (program.entryCount > 0) {
+			floor = Math.min(floor, readEntry(program, state.texts, 0).offset);
 		}
 	}
 
--- a/packages/programs/src/release.ts
+++ b/packages/programs/src/release.ts
@@ -10,7 +10,7 @@
 	context: StepContext,
 	command: CommandOf<'record-release'>,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	const hold = program?.holds.find(
 		(candidate) => candidate.upstreamId === command.upstreamId,
 	);
@@ -35,7 +35,7 @@
 	context: StepContext,
 	command: CommandOf<'record-return'>,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program?.returnPending) {
 		return {outcome: 'done', repeated: true};
 	}
@@ -65,7 +65,7 @@
 				};
 	}
 
-	state.programs.set(command.programId, {
+	state.programs.add({
 		id: command.programId,
 		callerId: '' as CallerId,
 		labels: '{}',
@@ -85,6 +85,8 @@
 		records: '',
 		forgotten: '',
 		entries: '',
+		entryCount: 0,
+		entriesEnd: 0,
 		call: undefined,
 		holds: [],
 		carves: undefined,
--- a/packages/programs/src/retry-call.ts
+++ b/packages/programs/src/retry-call.ts
@@ -63,7 +63,7 @@
 	context: StepContext,
 	command: CommandOf<'retry-call'>,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program) {
 		return refuseUnknown(command.programId);
 	}
--- a/packages/programs/src/settle-call.ts
+++ b/packages/programs/src/settle-call.ts
@@ -1,6 +1,6 @@
 import {freeTokens, isAmount} from './budget.ts';
 import {describeRecord} from './describe-call.ts';
-import {sliceEntries} from './history-entries.ts';
+import {keepEntries} from './history-entries.ts';
 import {
 	appendRecord,
 	findRecord,
@@ -44,7 +44,7 @@
 ): number | undefined => {
 	if (outcome.verdict === 'not-run') {
 		// The request text of a call that never ran is not part of the conversation.
-		program.entries = sliceEntries(program.entries, 0, call.entriesBefore);
+		keepEntries(program, call.entriesBefore);
 	}
 
 	if (outcome.status === 'failed') {
@@ -133,7 +133,7 @@
 	context: StepContext,
 	command: SettleCall,
 ): ProgramResult => {
-	const program = context.state.programs.get(command.programId);
+	const program = context.state.programs.edit(command.programId);
 	if (!program) {
 		return refuseUnknown(command.programId);
 	}
--- a/packages/programs/src/state.ts
+++ b/packages/programs/src/state.ts
@@ -5,6 +5,7 @@
 	UpstreamId,
 } from '@marjoramcove/types';
 import type {CallKind, Intent, ProgramBudget} from './commands.ts';
+import {ProgramTable} from './program-table.ts';
 import {shareText} from './share-text.ts';
 import {createTextTable, type TextTable} from './text-table.ts';
 
@@ -90,8 +91,11 @@
 	records: string;
 	/** Hashes of the request ids whose records were dropped. */
 	forgotten: string;
-	/** Packed rows; see `history-entries.ts`. */
+	/** Packed entries; see `history-entries.ts`. */
 	entries: string;
+	entryCount: number;
+	/** Offset in the history stream after the last entry. */
+	entriesEnd: number;
 	call?: OpenCall;
 	holds: Hold[];
 	carves?: Carve[];
@@ -102,6 +106,12 @@
 	returnPending?: boolean;
 };
 
+/** Whether an ended program still has something that another process must confirm. */
+export const isHolding = (program: Program): boolean =>
+	program.holds.length > 0 ||
+	program.returnPending === true ||
+	(program.carves?.some((carve) => !carve.returned) ?? false);
+
 /** State of one shard. */
 export type ProgramsState = {
 	shard: number;
@@ -111,7 +121,7 @@
 	/** Length of the history stream of the shard. */
 	historyLengthBytes: number;
 	texts: TextTable;
-	programs: Map<ProgramId, Program>;
+	programs: ProgramTable;
 	/** Program opened by an operation of a caller. */
 	operations: Map<string, ProgramId>;
 };
@@ -133,7 +143,7 @@
 	clockMs: 0,
 	historyLengthBytes: 0,
 	texts: createTextTable(),
-	programs: new Map(),
+	programs: new ProgramTable(),
 	operations: new Map(),
 });
 
--- a/packages/programs/src/step-context.ts
+++ b/packages/programs/src/step-context.ts
@@ -1,6 +1,6 @@
 import type {ProgramId} from '@marjoramcove/types';
 import type {HistoryText, ProgramCommand} from './commands.ts';
-import {appendEntry, countEntries} from './history-entries.ts';
+import {appendEntry} from './history-entries.ts';
 import type {ProgramRefusalReason, ProgramResult} from './results.ts';
 import type {Program, ProgramsState} from './state.ts';
 
@@ -37,16 +37,11 @@
 ): number => {
 	const {state} = context;
 	const lengthBytes = Buffer.byteLength(text.content);
-	program.entries = appendEntry(
-		program.entries,
-		state.texts,
-		text,
-		state.historyLengthBytes,
-	);
+	appendEntry(program, state.texts, text, state.historyLengthBytes);
 	state.historyLengthBytes += lengthBytes;
 	program.historyBytes += lengthBytes;
 	context.appended.push(text);
-	return countEntries(program.entries) - 1;
+	return program.entryCount - 1;
 };
 
 /** Refusal of a command for a program that this shard does not know. */
--- a/packages/programs/src/step-programs.ts
+++ b/packages/programs/src/step-programs.ts
@@ -130,13 +130,12 @@
 	const historyBefore = state.historyLengthBytes;
 	const result = applyCommand(context, command);
 	assertState(context, historyBefore, command);
-	if ('programId' in command) {
-		assertProgram(state, command.programId, command);
-	} else {
-		for (const programId of state.programs.keys()) {
-			assertProgram(state, programId, command);
-		}
+	// Programs that no step has edited are packed and were checked when they were packed.
+	for (const programId of state.programs.edited) {
+		assertProgram(state, programId, command);
 	}
 
+	state.programs.commit();
+
 	return {state, result, appended: context.appended};
 };
--- a/packages/soak/src/models/program-faults.ts
+++ b/packages/soak/src/models/program-faults.ts
@@ -15,17 +15,26 @@
 
 export type ProgramFault = (typeof PROGRAM_FAULTS)[number];
 
+/** Bytes of a packed request record. */
+const RECORD_BYTES = 19;
+/** Bytes of the hash of a request id whose record was dropped. */
+const FORGOTTEN_BYTES = 4;
+
 /** Damages what a new owner takes over. */
 export const damageState = (
 	state: ProgramsState,
 	fault: ProgramFault | undefined,
 ): void => {
-	for (const program of state.programs.values()) {
+	for (const programId of state.programs.keys()) {
+		const program = state.programs.edit(programId)!;
 		if (fault === 'drop-carves') {
 			program.carves = undefined;
 			program.carvedTokens = 0;
 			program.carvedTurns = 0;
 		} else if (fault === 'drop-records') {
+			// As many lost ids as records: a shorter list fails an invariant before a call is repeated.
+			const count = program.records.length / RECORD_BYTES;
+			program.forgotten += '\0'.repeat(FORGOTTEN_BYTES * count);
 			program.records = '';
 		} else if (fault === 'forget-hold' && !program.call) {
 			program.holds = [];
@@ -35,10 +44,9 @@
 			program.deadlineMs += 100_000;
 		}
 	}
-};
 
-/** Bytes of a packed request record. */
-const RECORD_BYTES = 19;
+	state.programs.commit();
+};
 
 /** Forgets the record that a command has just made. */
 export const dropLastRecord = (
@@ -46,8 +54,9 @@
 	command: ProgramCommand,
 ): void => {
 	const program =
-		'programId' in command ? state.programs.get(command.programId) : undefined;
+		'programId' in command ? state.programs.edit(command.programId) : undefined;
 	if (program) {
 		program.records = program.records.slice(0, -RECORD_BYTES);
+		state.programs.commit();
 	}
 };
