--- a/packages/daemon/src/entry/answer-model.fixture.ts
+++ b/packages/daemon/src/entry/answer-model.fixture.ts
@@ -2,7 +2,6 @@
 import type {CallHandlers} from '@marjoramcove/transport';
 import {
 	type AcceptInput,
-	acceptSchema,
 	type CallState,
 	type DispatchEvent,
 	type Grant,
@@ -11,8 +10,10 @@
 import {CallRun} from '../dispatcher/call-run.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
-import type {AnswerReader, ResumePosition} from './answer-delivery.ts';
+import type {ResumePosition} from './answer-delivery.ts';
 import {CallFollower} from './call-follower.ts';
+import {ModelCall} from './model-call.fixture.ts';
+import {ModelCaller} from './model-caller.fixture.ts';
 import type {AttemptRequest} from './read-attempt.ts';
 
 /** Deliberate faults, each of which the model must detect. */
@@ -30,78 +31,6 @@
 const MAX_CONNECTIONS = 40;
 const MAX_RUN_MS = 60_000;
 
-class ModelCall {
-	readonly input: AcceptInput;
-	/** Text of the first attempt; its marks name the call, so that mixed answers differ. */
-	readonly text: string;
-	readonly runs: CallRun[] = [];
-	recorded: {attempt: number; content: string} | undefined;
-
-	constructor(programId: string, requestId: string, length: number) {
-		this.input = acceptSchema.parse({
-			programId,
-			requestId,
-			bodyHash: '',
-			kind: 'model',
-			target: {model: 'agent-large'},
-			messages: [],
-			parameters: {},
-			zone: 'zone-a',
-			timeoutMs: 20_000,
-		});
-		this.text = Array.from(
-			{length},
-			(_, index) => `${programId}/${requestId}/${index};`,
-		).join('');
-	}
-}
-
-/** What a caller has of an answer, over several connections. */
-class ModelCaller implements AnswerReader {
-	text = '';
-	resume: ResumePosition | undefined;
-	readonly #ignoresRestart: boolean;
-	#connection = new AbortController();
-	#remainingTexts = 0;
-
-	constructor(ignoresRestart: boolean) {
-		this.#ignoresRestart = ignoresRestart;
-	}
-
-	/** Opens a connection that breaks after a number of texts. */
-	connect(texts: number, beginsAgain: boolean): AbortController {
-		this.#connection = new AbortController();
-		this.#remainingTexts = texts;
-		if (beginsAgain) {
-			this.text = '';
-			this.resume = undefined;
-		}
-
-		return this.#connection;
-	}
-
-	onText(fresh: string, position: ResumePosition): void {
-		// Bytes that were sent on a connection that has ended do not arrive.
-		if (this.#connection.signal.aborted) {
-			return;
-		}
-
-		this.text += fresh;
-		this.resume = position;
-		this.#remainingTexts--;
-		if (this.#remainingTexts <= 0) {
-			this.#connection.abort();
-		}
-	}
-
-	onRestart(): void {
-		if (!this.#ignoresRestart && !this.#connection.signal.aborted) {
-			this.text = '';
-			this.resume = undefined;
-		}
-	}
-}
-
 /**
  * Calls whose request ids collide over two programs, with owners, dispatchers and engines that fail.
  * The readers, the runs and the delivery are those of the daemon; the links between them cut, double,
--- /dev/null
+++ b/packages/daemon/src/entry/model-call.fixture.ts
@@ -0,0 +1,29 @@
+import {type AcceptInput, acceptSchema} from '../call-contracts.ts';
+import type {CallRun} from '../dispatcher/call-run.ts';
+
+/** One call of the model, with its attempts and its record. */
+export class ModelCall {
+	readonly input: AcceptInput;
+	/** Text of the first attempt; its marks name the call, so that mixed answers differ. */
+	readonly text: string;
+	readonly runs: CallRun[] = [];
+	recorded: {attempt: number; content: string} | undefined;
+
+	constructor(programId: string, requestId: string, length: number) {
+		this.input = acceptSchema.parse({
+			programId,
+			requestId,
+			bodyHash: '',
+			kind: 'model',
+			target: {model: 'agent-large'},
+			messages: [],
+			parameters: {},
+			zone: 'zone-a',
+			timeoutMs: 20_000,
+		});
+		this.text = Array.from(
+			{length},
+			(_, index) => `${programId}/${requestId}/${index};`,
+		).join('');
+	}
+}
