Split long functions of settings, resources and command lines

No behaviour changed: `npx vitest run packages/settings packages/configuration packages/cli packages/integration/src/bad-input packages/integration/src/thin` passes (79) without a change to a test.

--- a/packages/cli/src/stream-answer.ts
+++ b/packages/cli/src/stream-answer.ts
@@ -6,6 +6,7 @@
 import type {CommandContext} from './command-context.ts';
 
 const MAX_ATTEMPTS = 6;
+const STREAM_TIMEOUT_MS = 60_000;
 
 type Chunk = {
 	choices?: Array<{delta?: {content?: string}; message?: {content?: string}}>;
@@ -68,6 +69,44 @@
 	}
 };
 
+type StreamRequest = ApiRequest & {showWhileArriving: boolean};
+
+const openStream = async (
+	client: ApiClient,
+	request: StreamRequest,
+	{lastEventId}: Progress,
+) =>
+	client.open({
+		...request,
+		repeatable: true,
+		timeoutMs: STREAM_TIMEOUT_MS,
+		headers: {
+			...request.headers,
+			...(lastEventId !== '' && {'last-event-id': lastEventId}),
+		},
+	});
+
+/** Reads events until the stream ends; returns why it broke, if it did. */
+const readEvents = async (
+	context: CommandContext,
+	body: Readable,
+	progress: Progress,
+	show: boolean,
+): Promise<string> => {
+	try {
+		await readStream(body, (event) => {
+			readEvent(context, event, progress, show);
+		});
+		return 'the stream ended early';
+	} catch (error) {
+		if (error instanceof MarjoramcoveError) {
+			throw error;
+		}
+
+		return (error as Error).message;
+	}
+};
+
 /**
  * Reads an answer as a stream. When the connection is lost, continues on the next address from the
  * last event; the request id keeps the call from running twice.
@@ -75,43 +114,20 @@
 export const streamAnswer = async (
 	context: CommandContext,
 	client: ApiClient,
-	options: ApiRequest & {showWhileArriving: boolean},
+	request: StreamRequest,
 ): Promise<StreamedAnswer> => {
+	const {showWhileArriving: show} = request;
 	const progress: Progress = {content: '', lastEventId: '', done: false};
-	let failure = 'the stream ended early';
+	let failure = '';
 	for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-		const answer = await client.open({
-			...options,
-			repeatable: true,
-			timeoutMs: 60_000,
-			headers: {
-				...options.headers,
-				...(progress.lastEventId !== '' && {
-					'last-event-id': progress.lastEventId,
-				}),
-			},
-		});
+		const answer = await openStream(client, request, progress);
 		if (!String(answer.headers['content-type']).includes('event-stream')) {
-			return readWhole(context, await answer.body.text(), options);
-		}
-
-		try {
-			await readStream(answer.body, (event) => {
-				readEvent(context, event, progress, options.showWhileArriving);
-			});
-		} catch (error) {
-			if (error instanceof MarjoramcoveError) {
-				throw error;
-			}
-
-			failure = (error as Error).message;
+			return readWhole(context, await answer.body.text(), request);
 		}
 
+		failure = await readEvents(context, answer.body, progress, show);
 		if (progress.done) {
-			if (options.showWhileArriving) {
-				context.output.write('\n');
-			}
-
+			context.output.write(show ? '\n' : '');
 			return {content: progress.content, usage: progress.usage};
 		}
 
@@ -121,7 +137,7 @@
 	}
 
 	throw createLostAnswerError(
-		`${options.method} ${options.path}`,
+		`${request.method} ${request.path}`,
 		`${failure} after ${MAX_ATTEMPTS} attempts`,
 		'Try again later with the same request id.',
 	);
@@ -130,7 +146,7 @@
 const readWhole = (
 	context: CommandContext,
 	text: string,
-	options: {showWhileArriving: boolean},
+	options: Pick<StreamRequest, 'showWhileArriving'>,
 ): StreamedAnswer => {
 	const body = JSON.parse(text) as Chunk;
 	const content = body.choices?.[0]?.message?.content;
--- a/packages/configuration/src/parse-resources.ts
+++ b/packages/configuration/src/parse-resources.ts
@@ -49,46 +49,32 @@
 		}
 	});
 
-/**
- * Parses YAML documents, one resource each. Empty documents are skipped but counted.
- *
- * @throws ValidationError that lists each problem with the number of the document, the path of the
- * key, what was found and what is allowed.
- * @example
- * ```ts
- * const resources = parseResources(await readFile('selectors.yaml', 'utf8'));
- * ```
- */
-export const parseResources = (yamlText: string): Resource[] => {
-	if (Buffer.byteLength(yamlText) > MAX_RESOURCE_FILE_BYTES) {
-		throw new ValidationError(
-			`The file is larger than ${MAX_RESOURCE_FILE_BYTES} bytes.`,
-			'Split the file and apply its parts one after the other.',
-		);
-	}
-
-	const problems: string[] = [];
+/** Reads the resources of all valid documents and adds what is wrong to the problems. */
+const collectResources = (yamlText: string, problems: string[]): Resource[] => {
 	const resources: Resource[] = [];
 	const documentOf = new Map<string, number>();
 	for (const document of readDocuments(yamlText)) {
+		const report = (problem: string) => {
+			problems.push(`document ${document.number}: ${problem}`);
+		};
+
 		const result =
 			document.problems.length > 0
 				? {problems: document.problems}
 				: validateResource(document.value);
 		if ('problems' in result) {
-			problems.push(
-				...result.problems.map(
-					(problem) => `document ${document.number}: ${problem}`,
-				),
-			);
+			for (const problem of result.problems) {
+				report(problem);
+			}
+
 			continue;
 		}
 
 		const {kind, name} = result.resource;
 		const first = documentOf.get(`${kind}/${name}`);
 		if (first !== undefined) {
-			problems.push(
-				`document ${document.number}: ${kind} ${name} is also in document ${first}; allowed: one document for each kind and name`,
+			report(
+				`${kind} ${name} is also in document ${first}; allowed: one document for each kind and name`,
 			);
 		}
 
@@ -96,11 +82,35 @@
 		resources.push(result.resource);
 	}
 
+	return resources;
+};
+
+/**
+ * Parses YAML documents, one resource each. Empty documents are skipped but counted.
+ *
+ * @throws ValidationError that lists each problem with the number of the document, the path of the
+ * key, what was found and what is allowed.
+ * @example
+ * ```ts
+ * const resources = parseResources(await readFile('selectors.yaml', 'utf8'));
+ * ```
+ */
+export const parseResources = (yamlText: string): Resource[] => {
+	if (Buffer.byteLength(yamlText) > MAX_RESOURCE_FILE_BYTES) {
+		throw new ValidationError(
+			`The file is larger than ${MAX_RESOURCE_FILE_BYTES} bytes.`,
+			'Split the file and apply its parts one after the other.',
+		);
+	}
+
+	const problems: string[] = [];
+	const resources = collectResources(yamlText, problems);
 	if (problems.length > 0) {
+		const listed = problems.slice(0, MAX_LISTED_PROBLEMS);
 		throw new ValidationError(
-			`The resources have ${problems.length} problem${problems.length === 1 ? '' : 's'}: ${problems.slice(0, MAX_LISTED_PROBLEMS).join('\n')}`,
+			`The resources have ${problems.length} problem${problems.length === 1 ? '' : 's'}: ${listed.join('\n')}`,
 			'Correct the named keys; nothing was applied. Quote label values such as "true" and "1".',
-			{problems: problems.slice(0, MAX_LISTED_PROBLEMS)},
+			{problems: listed},
 		);
 	}
 
--- a/packages/configuration/src/plan-apply.ts
+++ b/packages/configuration/src/plan-apply.ts
@@ -98,6 +98,33 @@
 		: [...unmatched, ...abrupt];
 };
 
+type Compared = {resource: Resource; difference: ResourceDifference};
+
+const compareAll = (current: Resource[], wanted: Resource[]): Compared[] => {
+	const currentByKey = new Map(
+		current.map((resource) => [
+			resourceKey(resource.kind, resource.name),
+			resource,
+		]),
+	);
+	return sortResources(wanted).map((resource) => ({
+		resource,
+		difference: compareResource(
+			currentByKey.get(resourceKey(resource.kind, resource.name)),
+			resource,
+		),
+	}));
+};
+
+const findAbsent = (current: Resource[], wanted: Resource[]): Resource[] => {
+	const wantedKeys = new Set(
+		wanted.map(({kind, name}) => resourceKey(kind, name)),
+	);
+	return sortResources(current).filter(
+		({kind, name}) => !wantedKeys.has(resourceKey(kind, name)),
+	);
+};
+
 /**
  * Plans how to bring the current resources to those of a file, for `diff` and `apply`. Resources that
  * the file does not contain are kept, and deleted only with an explicit `prune`.
@@ -112,35 +139,10 @@
 	wanted: Resource[],
 	{prune = false}: {prune?: boolean} = {},
 ): ApplyPlan => {
-	const currentByKey = new Map(
-		current.map((resource) => [
-			resourceKey(resource.kind, resource.name),
-			resource,
-		]),
-	);
-	const wantedKeys = new Set(
-		wanted.map(({kind, name}) => resourceKey(kind, name)),
-	);
-	const absent = sortResources(current).filter(
-		({kind, name}) => !wantedKeys.has(resourceKey(kind, name)),
-	);
-	const compared = sortResources(wanted).map((resource) => ({
-		resource,
-		difference: compareResource(
-			currentByKey.get(resourceKey(resource.kind, resource.name)),
-			resource,
-		),
-	}));
-	const applied = compared
-		.filter(({difference}) => difference.action !== 'unchanged')
-		.map(({resource}): ResourceChange => ({type: 'apply', resource}));
-	const deleted = prune
-		? absent.map(({kind, name}): ResourceChange => ({
-				type: 'delete',
-				kind,
-				name,
-			}))
-		: [];
+	const absent = findAbsent(current, wanted);
+	const deleted = prune ? absent : [];
+	const kept = prune ? [] : absent;
+	const compared = compareAll(current, wanted);
 	return {
 		differences: [
 			...compared.map(({difference}) => difference),
@@ -151,11 +153,16 @@
 				fields: [],
 			})),
 		],
-		changes: [...applied, ...deleted],
-		warnings: findWarnings(
-			current,
-			prune ? wanted : [...wanted, ...absent],
-			prune ? absent : [],
-		),
+		changes: [
+			...compared
+				.filter(({difference}) => difference.action !== 'unchanged')
+				.map(({resource}): ResourceChange => ({type: 'apply', resource})),
+			...deleted.map(({kind, name}): ResourceChange => ({
+				type: 'delete',
+				kind,
+				name,
+			})),
+		],
+		warnings: findWarnings(current, [...wanted, ...kept], deleted),
 	};
 };
--- a/packages/daemon/src/run-cli.ts
+++ b/packages/daemon/src/run-cli.ts
@@ -20,18 +20,8 @@
 	}
 };
 
-/**
- * Runs the command line of the daemon and resolves with the exit code: 0 after a regular end, 1 after
- * a failure, 2 for wrong arguments or settings.
- *
- * @example
- * ```ts
- * process.exitCode = await runCli(process.argv.slice(2));
- * ```
- */
-export const runCli = async (args: string[]): Promise<number> => {
-	let usageError: string | undefined;
-	const parser = yargs(args)
+const createParser = (args: string[], onFailure: (message: string) => void) =>
+	yargs(args)
 		.scriptName('marjoramcoved')
 		.usage('$0 --settings FILE\n\nRuns a daemon of marjoramcove.')
 		.option('settings', {
@@ -48,9 +38,23 @@
 		.strict()
 		.exitProcess(false)
 		.fail((message: string | null, error: Error | undefined) => {
-			usageError = message ?? error?.message ?? 'The arguments are invalid.';
+			onFailure(message ?? error?.message ?? 'The arguments are invalid.');
 		});
-	const argv = await parser.parseAsync();
+
+/**
+ * Runs the command line of the daemon and resolves with the exit code: 0 after a regular end, 1 after
+ * a failure, 2 for wrong arguments or settings.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runCli(process.argv.slice(2));
+ * ```
+ */
+export const runCli = async (args: string[]): Promise<number> => {
+	let usageError: string | undefined;
+	const argv = await createParser(args, (message) => {
+		usageError = message;
+	}).parseAsync();
 	if (argv.help === true || argv.version === true) {
 		return 0;
 	}
--- a/packages/settings/src/check-settings.ts
+++ b/packages/settings/src/check-settings.ts
@@ -3,6 +3,78 @@
 /** A rule that the schema alone cannot express was broken. */
 export type SettingsProblem = {path: string; found: string; allowed: string};
 
+type Rule = {holds: boolean; path: string; found: unknown; allowed: string};
+
+const listClusterRules = ({
+	daemonId,
+	roles,
+	dataFolder,
+	cluster,
+}: Settings): Rule[] => {
+	const ids = cluster.peers.map((peer) => peer.daemonId);
+	const self = cluster.peers.find((peer) => peer.daemonId === daemonId);
+	const hasState = roles.includes('state');
+	return [
+		{
+			holds: !hasState || dataFolder !== undefined,
+			path: 'dataFolder',
+			found: dataFolder,
+			allowed: 'a path, because roles contains state',
+		},
+		{
+			holds: self !== undefined,
+			path: 'cluster.peers',
+			found: ids,
+			allowed: `a list that contains this daemon (${daemonId})`,
+		},
+		{
+			holds: self === undefined || self.state === hasState,
+			path: 'cluster.peers[].state',
+			found: self?.state,
+			allowed: `${hasState} for this daemon, as in roles`,
+		},
+		{
+			holds: new Set(ids).size === ids.length,
+			path: 'cluster.peers',
+			found: ids,
+			allowed: 'each daemonId once',
+		},
+		{
+			holds: cluster.peers.some((peer) => peer.state),
+			path: 'cluster.peers',
+			found: 'no peer with state: true',
+			allowed: 'at least one peer with state: true',
+		},
+	];
+};
+
+const listTimingRules = ({timing}: Settings): Rule[] => [
+	{
+		holds: timing.electionTimeoutMinMs > 2 * timing.raftHeartbeatMs,
+		path: 'timing.electionTimeoutMinMs',
+		found: timing.electionTimeoutMinMs,
+		allowed: 'more than twice timing.raftHeartbeatMs',
+	},
+	{
+		holds: timing.electionTimeoutMaxMs > timing.electionTimeoutMinMs,
+		path: 'timing.electionTimeoutMaxMs',
+		found: timing.electionTimeoutMaxMs,
+		allowed: 'more than timing.electionTimeoutMinMs',
+	},
+	{
+		holds: timing.configurationLeaseMs >= 2 * timing.heartbeatMs,
+		path: 'timing.configurationLeaseMs',
+		found: timing.configurationLeaseMs,
+		allowed: 'at least twice timing.heartbeatMs',
+	},
+	{
+		holds: timing.linkTimeoutMs > timing.linkHeartbeatMs,
+		path: 'timing.linkTimeoutMs',
+		found: timing.linkTimeoutMs,
+		allowed: 'more than timing.linkHeartbeatMs',
+	},
+];
+
 /**
  * Checks rules that concern several keys.
  *
@@ -11,78 +83,11 @@
  * const problems = checkSettings(settings);
  * ```
  */
-export const checkSettings = (settings: Settings): SettingsProblem[] => {
-	const {timing, cluster, roles} = settings;
-	const problems: SettingsProblem[] = [];
-	const check = (
-		holds: boolean,
-		path: string,
-		found: unknown,
-		allowed: string,
-	) => {
-		if (!holds) {
-			problems.push({path, found: JSON.stringify(found) ?? 'nothing', allowed});
-		}
-	};
-
-	const self = cluster.peers.find(
-		(peer) => peer.daemonId === settings.daemonId,
-	);
-	const hasState = roles.includes('state');
-	check(
-		!hasState || settings.dataFolder !== undefined,
-		'dataFolder',
-		settings.dataFolder,
-		'a path, because roles contains state',
-	);
-	check(
-		self !== undefined,
-		'cluster.peers',
-		cluster.peers.map((peer) => peer.daemonId),
-		`a list that contains this daemon (${settings.daemonId})`,
-	);
-	check(
-		self === undefined || self.state === hasState,
-		'cluster.peers[].state',
-		self?.state,
-		`${hasState} for this daemon, as in roles`,
-	);
-	check(
-		new Set(cluster.peers.map((peer) => peer.daemonId)).size ===
-			cluster.peers.length,
-		'cluster.peers',
-		cluster.peers.map((peer) => peer.daemonId),
-		'each daemonId once',
-	);
-	check(
-		cluster.peers.some((peer) => peer.state),
-		'cluster.peers',
-		'no peer with state: true',
-		'at least one peer with state: true',
-	);
-	check(
-		timing.electionTimeoutMinMs > 2 * timing.raftHeartbeatMs,
-		'timing.electionTimeoutMinMs',
-		timing.electionTimeoutMinMs,
-		'more than twice timing.raftHeartbeatMs',
-	);
-	check(
-		timing.electionTimeoutMaxMs > timing.electionTimeoutMinMs,
-		'timing.electionTimeoutMaxMs',
-		timing.electionTimeoutMaxMs,
-		'more than timing.electionTimeoutMinMs',
-	);
-	check(
-		timing.configurationLeaseMs >= 2 * timing.heartbeatMs,
-		'timing.configurationLeaseMs',
-		timing.configurationLeaseMs,
-		'at least twice timing.heartbeatMs',
-	);
-	check(
-		timing.linkTimeoutMs > timing.linkHeartbeatMs,
-		'timing.linkTimeoutMs',
-		timing.linkTimeoutMs,
-		'more than timing.linkHeartbeatMs',
-	);
-	return problems;
-};
+export const checkSettings = (settings: Settings): SettingsProblem[] =>
+	[...listClusterRules(settings), ...listTimingRules(settings)]
+		.filter(({holds}) => !holds)
+		.map(({path, found, allowed}) => ({
+			path,
+			found: JSON.stringify(found) ?? 'nothing',
+			allowed,
+		}));
