Feed routing with the observed speed of engines

relativeSpeed was always 1, so a slow engine got as much work as the others until its queue grew. Answers that continue a lost attempt are left out, because their usage covers the work of two engines. Engines that are not registered any more are forgotten at the next change.

An owner learns only from the calls of the shards it leads. The record starts at the assumed speed of the policy: until about a hundred calls have moved the average of the fleet, engines with observations are compared with that, not with each other.

The new routing test fails with relativeSpeed 1 (engine-0 chosen).

--- a/packages/daemon/src/dispatcher/attempt-settler.ts
+++ b/packages/daemon/src/dispatcher/attempt-settler.ts
@@ -4,7 +4,9 @@
 import type {GroupClientService} from '../services/group-client-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
 import type {UpstreamsService} from '../services/upstreams-service.ts';
+import type {SpeedObservation} from '../owner/observed-speeds.ts';
 import type {AttemptResult, CallRun} from './call-run.ts';
+import {observeSpeed} from './observe-speed.ts';
 import {messageMarker, type ModelEnd} from './run-model-call.ts';
 
 const settleGraceMs = 20_000;
@@ -114,7 +116,32 @@
 		}
 	}
 
-	#describeOutcome({grant}: CallRun, result: AttemptResult) {
+	/** Only whole answers count: the usage of a continued one does not tell the work of its attempt. */
+	#observe(
+		{grant, payload, upstreamMs}: CallRun,
+		{outcome, usage}: AttemptResult,
+	): SpeedObservation | undefined {
+		const {target, upstreamId} = grant;
+		if (
+			!('model' in target) ||
+			payload.prefix !== '' ||
+			outcome.status !== 'answered' ||
+			!usage ||
+			upstreamMs === undefined
+		) {
+			return undefined;
+		}
+
+		const {policy} = this.#context.settings;
+		const ratio = observeSpeed(usage, upstreamMs, policy);
+		return ratio === undefined
+			? undefined
+			: {upstreamId, model: target.model, ratio};
+	}
+
+	#describeOutcome(run: CallRun, result: AttemptResult) {
+		const {grant} = run;
+		const speed = this.#observe(run, result);
 		const isAnswer = result.outcome.status === 'answered';
 		const {usage} = result;
 		const load =
@@ -138,6 +165,7 @@
 			}),
 			...(result.outcome.verdict === 'not-run' && {usedTokens: 0}),
 			...(load && {load: {upstreamId: grant.upstreamId, ...load}}),
+			...(speed && {speed}),
 		};
 	}
 }
--- a/packages/daemon/src/dispatcher/call-run.ts
+++ b/packages/daemon/src/dispatcher/call-run.ts
@@ -28,6 +28,8 @@
 	status: AttemptStatus = 'queued';
 	text: string;
 	finishedMs = Number.POSITIVE_INFINITY;
+	/** Time that the upstream took; undefined until it has answered. */
+	upstreamMs: number | undefined;
 	#final: DispatchEvent | undefined;
 	readonly #readers = new Set<() => void>();
 
--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -17,6 +17,7 @@
 	shardGroup,
 } from '../services/replication-service.ts';
 import type {UpstreamsService} from '../services/upstreams-service.ts';
+import {ObservedSpeeds} from './observed-speeds.ts';
 
 /** Results of commands that took effect or were repeated. */
 export type EffectiveResult = Exclude<ProgramResult, {outcome: 'refused'}>;
@@ -31,6 +32,7 @@
 	readonly upstreams: UpstreamsService;
 	readonly peers: PeersService;
 	readonly groups: GroupClientService;
+	readonly speeds = new ObservedSpeeds();
 
 	constructor(parts: {
 		context: DaemonContext;
--- a/packages/daemon/src/owner/route-call.test.ts
+++ b/packages/daemon/src/owner/route-call.test.ts
@@ -2,6 +2,7 @@
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {asId, type UpstreamId, type ZoneName} from '@marjoramcove/types';
 import {describe, expect, it} from 'vitest';
+import {ObservedSpeeds} from './observed-speeds.ts';
 import {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
 import {routeCall, type RouteRequest} from './route-call.ts';
@@ -28,6 +29,7 @@
 			},
 			members: new Map([['d1', {incarnation: 'i1'}]]),
 		},
+		speeds: new ObservedSpeeds(),
 		upstreams: {
 			load: () => ({
 				running: 0,
@@ -95,6 +97,19 @@
 		expect(route(other.core, request)).toBe(nameOf(60));
 	});
 
+	it('keeps work away from an engine that its calls showed to be slow', () => {
+		// Guards against a decision that takes every engine for one of normal speed.
+		const {core} = createCore(2, () => true);
+		for (let call = 0; call < 20; call++) {
+			core.speeds.record({upstreamId: nameOf(0), model: 'm', ratio: 4});
+			core.speeds.record({upstreamId: nameOf(1), model: 'm', ratio: 1});
+		}
+
+		for (let call = 0; call < 20; call++) {
+			expect(route(core, createRequest())).toBe(nameOf(1));
+		}
+	});
+
 	it('refuses when no engine is usable', () => {
 		// Guards against a search without an end.
 		const {core} = createCore(200, () => false);
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -48,7 +48,7 @@
 const viewOf = (
 	core: OwnerCore,
 	loads: OpenCallLoads,
-	{program, promptTokens, completionTokens}: RouteRequest,
+	{program, target, promptTokens, completionTokens}: RouteRequest,
 	upstream: UpstreamResource,
 ): EngineView => {
 	const {name, spec} = upstream;
@@ -71,7 +71,7 @@
 			: 0,
 		cacheCapacityTokens: load.kvCapacityTokens || 1_000_000,
 		cacheUsedTokens: load.kvTokens,
-		relativeSpeed: 1,
+		relativeSpeed: 'model' in target ? core.speeds.read(target.model, name) : 1,
 		leaving: core.upstreams.isLeaving(name),
 		healthy: core.upstreams.isHealthy(name),
 	};
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -268,9 +268,8 @@
 		this.#context.steps.record(nowMs - run.receivedMs, {step: 'queue'});
 		run.status = 'sent';
 		const end = await this.#caller.call(run, upstream);
-		this.#context.steps.record(performance.now() - nowMs, {
-			step: run.grant.kind,
-		});
+		run.upstreamMs = performance.now() - nowMs;
+		this.#context.steps.record(run.upstreamMs, {step: run.grant.kind});
 		return end;
 	}
 
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -55,6 +55,14 @@
 			ageMs: z.number().min(0),
 		})
 		.optional(),
+	/** How fast the engine was. */
+	speed: z
+		.object({
+			upstreamId: z.string().transform((value) => value as UpstreamId),
+			model: z.string(),
+			ratio: z.number().positive(),
+		})
+		.optional(),
 });
 
 const programSchema = z.object({programId: programIdSchema});
@@ -130,6 +138,10 @@
 		this.#core.upstreams.onLoad((upstreamId) => {
 			this.#loads.noteReport(upstreamId);
 		});
+		this.#core.configuration.onChange(() => {
+			const {upstreams} = this.#core.configuration.view;
+			this.#core.speeds.keep(new Set(upstreams.map(({name}) => name)));
+		});
 		this.#core.replication.onLeadershipChange((groupId, leadership) => {
 			this.#context.logger.info({
 				event: 'leader-changed',
@@ -170,7 +182,8 @@
 				return state;
 			},
 		);
-		peers.handle('programs.settle', settleSchema, async ({load, ...input}) => {
+		peers.handle('programs.settle', settleSchema, async (settlement) => {
+			const {load, speed, ...input} = settlement;
 			await this.#core.lead(input.programId);
 			if (load) {
 				const {upstreamId, ageMs, ...report} = load;
@@ -182,6 +195,10 @@
 				nowMs: this.#core.commandTimeMs(input.programId),
 				...input,
 			});
+			if (speed && result.outcome === 'settled' && !result.repeated) {
+				this.#core.speeds.record(speed);
+			}
+
 			this.#reportOverrun(input, result);
 			return result;
 		});
--- a/scripts/time-routing.mjs
+++ b/scripts/time-routing.mjs
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ConfigurationView} from '../packages/configuration/dist/index.js';
 import {OpenCallLoads} from '../packages/daemon/dist/owner/open-call-loads.js';
+import {ObservedSpeeds} from '../packages/daemon/dist/owner/observed-speeds.js';
 import {routeCall} from '../packages/daemon/dist/owner/route-call.js';
 import {UpstreamsService} from '../packages/daemon/dist/services/upstreams-service.js';
 
@@ -68,7 +69,7 @@
 		listener();
 	}
 
-	return {context, configuration, upstreams};
+	return {context, configuration, upstreams, speeds: new ObservedSpeeds()};
 };
 
 const createRequest = (servers) => ({
