Admit calls by sampled load and open programs per caller

admitCall got the load of the chosen engine alone and constants for the programs, so no caller ever had less than its share and the allowance for small callers never applied.

The load is summed over the engines that the routing decision looked at and that take work: the cached engine and a random sample. The chosen one alone is the least loaded of them, which hid overload of the rest.

--- a/packages/daemon/src/owner/admit-model-call.ts
+++ b/packages/daemon/src/owner/admit-model-call.ts
@@ -1,40 +1,55 @@
 import type {ProgramDescription} from '@marjoramcove/programs';
-import {admitCall, type FleetLoad} from '@marjoramcove/scheduler';
+import {
+	admitCall,
+	type EngineView,
+	estimateWorkMs,
+	type FleetLoad,
+	isEligible,
+	type PolicySettings,
+	readTuning,
+} from '@marjoramcove/scheduler';
 import type {CallerId} from '@marjoramcove/types';
 import {refusal} from '../daemon-context.ts';
+import type {ProgramCounts} from './caller-programs.ts';
 import type {OwnerCore} from './owner-core.ts';
-import type {OpenCallLoads} from './open-call-loads.ts';
-import type {Route} from './route-call.ts';
 
-/** Engine time per outstanding token that admission assumes, mostly prompt tokens. */
-const workMsPerToken = 0.1;
-/** Cache size of an engine that has not reported one. */
-const unknownCacheTokens = 1_000_000;
-
-/** Load of the chosen engine. It is the least loaded of a sample, so it stands for the fleet. */
-const describeLoad = (
-	core: OwnerCore,
-	loads: OpenCallLoads,
-	{upstream}: Route,
+/** Load of the engines that a decision looked at; a random sample stands for the fleet. */
+export const describeFleetLoad = (
+	views: readonly EngineView[],
+	counts: ProgramCounts,
+	policy: PolicySettings,
 ): FleetLoad => {
-	const load = core.upstreams.load(upstream.name);
-	const own = loads.own(upstream.name);
-	const calls = Math.max(own.calls, load.running + load.waiting);
-	const {slots} = upstream.spec;
-	return {
-		engines: 1,
-		slots,
-		inFlight: Math.min(calls, slots),
-		queued: Math.max(0, calls - slots),
-		outstandingWorkMs:
-			(own.prefillTokens + own.completionTokens) * workMsPerToken,
-		cacheUsedTokens: load.kvTokens,
-		cacheCapacityTokens: load.kvCapacityTokens || unknownCacheTokens,
-		// Programs are not counted per caller; fairness between callers is left to the queues.
-		callerPrograms: 0,
-		programs: 0,
-		activeCallers: 1,
+	const load: FleetLoad = {
+		engines: 0,
+		slots: 0,
+		inFlight: 0,
+		queued: 0,
+		outstandingWorkMs: 0,
+		cacheUsedTokens: 0,
+		cacheCapacityTokens: 0,
+		...counts,
 	};
+	for (const view of views) {
+		if (isEligible(view)) {
+			const completionTokens = view.outstandingCompletionTokens ?? 0;
+			const workMs = estimateWorkMs(
+				{
+					completionTokens,
+					prefillTokens: view.outstandingTokens - completionTokens,
+				},
+				readTuning(policy),
+			);
+			load.engines++;
+			load.slots += view.slots;
+			load.inFlight += view.inFlight;
+			load.queued += view.queued;
+			load.outstandingWorkMs += workMs / view.relativeSpeed;
+			load.cacheUsedTokens += view.cacheUsedTokens ?? 0;
+			load.cacheCapacityTokens += view.cacheCapacityTokens;
+		}
+	}
+
+	return load;
 };
 
 /**
@@ -44,15 +59,16 @@
  */
 export const admitModelCall = (
 	core: OwnerCore,
-	loads: OpenCallLoads,
 	program: ProgramDescription,
-	route: Route,
+	views: readonly EngineView[],
 ): void => {
+	const {policy} = core.context.settings;
+	const callerId = program.callerId as CallerId;
 	const decision = admitCall(
-		describeLoad(core, loads, route),
+		describeFleetLoad(views, core.callers.countOthers(callerId), policy),
 		{
 			programId: program.programId,
-			callerId: program.callerId as CallerId,
+			callerId,
 			isNewProgram: program.nextTurn === 1,
 			deadlineMs: program.deadlineMs,
 			priority:
@@ -60,7 +76,7 @@
 					.priority ?? 0,
 		},
 		core.commandTimeMs(program.programId),
-		core.context.settings.policy,
+		policy,
 	);
 	if (!decision.admitted) {
 		throw refusal(
--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -231,7 +231,7 @@
 			completionTokens,
 		});
 		if (input.kind === 'model') {
-			admitModelCall(this.#core, this.#loads, program, route);
+			admitModelCall(this.#core, program, route.views);
 		}
 
 		return this.#core.propose(programId, {
--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -17,6 +17,7 @@
 	shardGroup,
 } from '../services/replication-service.ts';
 import type {UpstreamsService} from '../services/upstreams-service.ts';
+import {CallerPrograms} from './caller-programs.ts';
 import {ObservedSpeeds} from './observed-speeds.ts';
 
 /** Results of commands that took effect or were repeated. */
@@ -33,6 +34,7 @@
 	readonly peers: PeersService;
 	readonly groups: GroupClientService;
 	readonly speeds = new ObservedSpeeds();
+	readonly callers = new CallerPrograms();
 
 	constructor(parts: {
 		context: DaemonContext;
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -25,6 +25,8 @@
 	dispatcherId: DaemonId;
 	dispatcherIncarnation: IncarnationId;
 	cachedTokens: number;
+	/** Upstreams that the decision looked at. */
+	views: EngineView[];
 };
 
 export type RouteRequest = {
@@ -100,7 +102,7 @@
 		);
 	}
 
-	const chosen = choose(core, request, {
+	const {chosen, views} = choose(core, request, {
 		count: allowed.length,
 		viewAt: (position) => viewOf(core, loads, request, allowed[position]!),
 		viewOf(upstreamId) {
@@ -118,11 +120,11 @@
 		);
 	}
 
-	return withDispatcher(
-		core,
-		core.upstreams.lookUp(chosen.upstreamId)!,
-		chosen.cachedTokens,
-	);
+	return {
+		...withDispatcher(core, core.upstreams.lookUp(chosen.upstreamId)!),
+		cachedTokens: chosen.cachedTokens,
+		views,
+	};
 };
 
 /** Positions 0 to count - 1 in random order; the cost is that of the positions taken. */
@@ -160,7 +162,7 @@
 	core: OwnerCore,
 	request: RouteRequest,
 	directory: EngineDirectory,
-): EngineView | undefined => {
+): {chosen: EngineView | undefined; views: EngineView[]} => {
 	const {policy} = core.context.settings;
 	const previous = previousEngine(request.program);
 	const sampled = sampleViews(
@@ -177,21 +179,24 @@
 		...(previous !== undefined && {previousUpstreamId: previous}),
 		deadlineMs: request.program.deadlineMs,
 	};
-	return (
-		chooseEngine(
-			routing,
-			sampled.filter(({upstreamId}) => !request.avoid?.has(upstreamId)),
-			policy,
-			Math.random,
-		) ?? findUsable(directory, request)
+	const chosen = chooseEngine(
+		routing,
+		sampled.filter(({upstreamId}) => !request.avoid?.has(upstreamId)),
+		policy,
+		Math.random,
 	);
+	if (chosen) {
+		return {chosen, views: sampled};
+	}
+
+	const found = findUsable(directory, request);
+	return {chosen: found, views: found ? [...sampled, found] : sampled};
 };
 
 const withDispatcher = (
 	core: OwnerCore,
 	upstream: UpstreamResource,
-	cachedTokens: number,
-): Route => {
+): Omit<Route, 'cachedTokens' | 'views'> => {
 	const dispatcherId = core.upstreams.dispatcherOf(upstream.name);
 	const member = dispatcherId && core.configuration.members.get(dispatcherId);
 	if (!dispatcherId || !member) {
@@ -206,6 +211,5 @@
 		upstream,
 		dispatcherId,
 		dispatcherIncarnation: member.incarnation,
-		cachedTokens,
 	};
 };
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -338,14 +338,15 @@
 		result: ProgramResult,
 		engineBefore: UpstreamId | undefined,
 	): void {
+		const {state} = this.#core.replication.shards[shard]!;
+		this.#core.callers.noteApplied(state, command, result);
 		if (result.outcome === 'accepted' || result.outcome === 'retried') {
-			const {programs} = this.#core.replication.shards[shard]!.state;
 			this.#loads.add({
 				...result.call,
 				work: describeAppliedWork(
 					command,
 					result.call,
-					programs.get(result.call.programId)!,
+					state.programs.get(result.call.programId)!,
 					{
 						bytesPerToken: this.#context.settings.limits.bytesPerToken,
 						engineBefore,
@@ -365,9 +366,10 @@
 		}
 	}
 
-	/** Counts the open calls of a shard anew after its state was replaced by a snapshot. */
+	/** Counts the open calls and programs of a shard anew after its state was replaced by a snapshot. */
 	#recount(shard: number): void {
 		const {state} = this.#core.replication.shards[shard]!;
+		this.#core.callers.recount(state);
 		const {bytesPerToken} = this.#context.settings.limits;
 		this.#loads.replaceShard(
 			shard,
