--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -17,6 +17,8 @@
 	shardGroup,
 } from '../services/replication-service.ts';
 import type {UpstreamsService} from '../services/upstreams-service.ts';
+import {CallerPrograms} from './caller-programs.ts';
+import {ObservedSpeeds} from './observed-speeds.ts';
 
 /** Results of commands that took effect or were repeated. */
 export type EffectiveResult = Exclude<ProgramResult, {outcome: 'refused'}>;
@@ -31,6 +33,8 @@
 	readonly upstreams: UpstreamsService;
 	readonly peers: PeersService;
 	readonly groups: GroupClientService;
+	readonly speeds = new ObservedSpeeds();
+	readonly callers = new CallerPrograms();
 
 	constructor(parts: {
 		context: DaemonContext;
