Join the text of an answer before it crosses a link

Cause: the dispatcher sent one message per token to the entry daemon. A caller that does not stream gets nothing from them, and an engine that sends tokens in a burst pays one message each.

The entry daemon now asks for a shortest time between chunks: 10 ms for a streaming caller, far below the 61 ms between tokens that the target allows, and 250 ms for a whole answer, where the text only serves to continue a lost attempt. The end of an answer is not delayed. A chunk never ends with half a surrogate pair, because UTF-8 on the binary link has no half.

--- a/packages/daemon/src/dispatcher/call-run.test.ts
+++ b/packages/daemon/src/dispatcher/call-run.test.ts
@@ -1,4 +1,5 @@
-import {describe, expect, it} from 'vitest';
+import {setImmediate} from 'node:timers/promises';
+import {describe, expect, it, vi} from 'vitest';
 import type {DispatchEvent, Grant} from '../call-contracts.ts';
 import {CallRun} from './call-run.ts';
 
@@ -54,6 +55,54 @@
 			]);
 		});
 
+		it('never cuts a surrogate pair, because UTF-8 on the link would lose both halves', async () => {
+			const run = createRun();
+			const reading = readAll(run);
+			run.append('a\uD83D');
+			await setImmediate();
+			run.append('\uDE00b');
+			run.finish('lost', end);
+			const events = await reading;
+			expect(
+				events.map((event) => (event.type === 'chunk' ? event.text : '')),
+			).toEqual(['a', '\u{1F600}b', '']);
+		});
+
+		it('joins the text of a pause into one chunk, and gives the end without a pause', async () => {
+			// Guards against a message per token, and against an end that waits for the next chunk.
+			vi.useFakeTimers();
+			try {
+				const run = createRun();
+				const events: DispatchEvent[] = [];
+				const read = async () => {
+					const {signal} = new AbortController();
+					for await (const event of run.read(0, signal, 50)) {
+						events.push(event);
+					}
+				};
+
+				const reading = read();
+				for (const text of ['a', 'b', 'c']) {
+					run.append(text);
+					await vi.advanceTimersByTimeAsync(10);
+				}
+
+				expect(events).toEqual([{type: 'chunk', offset: 0, text: 'a'}]);
+				await vi.advanceTimersByTimeAsync(30);
+				expect(events[1]).toEqual({type: 'chunk', offset: 1, text: 'bc'});
+				run.append('d');
+				run.finish('lost', end);
+				await reading;
+				expect(events.slice(2)).toEqual([
+					{type: 'chunk', offset: 3, text: 'd'},
+					end,
+				]);
+				expect(vi.getTimerCount()).toBe(0);
+			} finally {
+				vi.useRealTimers();
+			}
+		});
+
 		it('ends when its reader has gone', async () => {
 			const controller = new AbortController();
 			const reading = createRun().read(0, controller.signal).next();
--- a/packages/daemon/src/dispatcher/call-run.ts
+++ b/packages/daemon/src/dispatcher/call-run.ts
@@ -29,7 +29,9 @@
 	text: string;
 	finishedMs = Number.POSITIVE_INFINITY;
 	#final: DispatchEvent | undefined;
+	/** Wake the readers that wait for text or the end, and those that wait for the end only. */
 	readonly #readers = new Set<() => void>();
+	readonly #endReaders = new Set<() => void>();
 
 	constructor({grant, payload}: {grant: Grant; payload: CallPayload}) {
 		this.grant = grant;
@@ -57,20 +59,30 @@
 			this.#final = event;
 			this.finishedMs = performance.now();
 			this.#wake();
+			for (const reader of this.#endReaders) {
+				reader();
+			}
 		}
 	}
 
-	/** Streams the text from an offset, then the end. Text that waits is joined into one chunk. */
+	/**
+	 * Streams the text from an offset, then the end. Text that waits is joined into one chunk, and a
+	 * chunk follows the one before it after `coalesceMs` at the earliest; the end is not delayed.
+	 */
 	async *read(
 		fromOffset: number,
 		signal: AbortSignal,
+		coalesceMs = 0,
 	): AsyncGenerator<DispatchEvent> {
 		let offset = Math.min(fromOffset, this.text.length);
 		while (!signal.aborted) {
-			if (offset < this.text.length) {
-				const text = this.text.slice(offset);
+			const text = this.#readableFrom(offset);
+			if (text !== '') {
 				yield {type: 'chunk', offset, text};
 				offset += text.length;
+				if (coalesceMs > 0) {
+					await this.#finished(signal, coalesceMs);
+				}
 			} else if (this.#final) {
 				yield this.#final;
 				return;
@@ -80,6 +92,34 @@
 		}
 	}
 
+	/** Text from an offset; half a surrogate pair waits, because UTF-8 on the link has no half. */
+	#readableFrom(offset: number): string {
+		const text = this.text.slice(offset);
+		return this.isFinished || !/[\uD800-\uDBFF]$/v.test(text)
+			? text
+			: text.slice(0, -1);
+	}
+
+	/** Waits for the end of the run, for a time at most. */
+	async #finished(signal: AbortSignal, timeoutMs: number): Promise<void> {
+		if (this.isFinished || signal.aborted) {
+			return;
+		}
+
+		await new Promise<void>((resolve) => {
+			const finish = () => {
+				clearTimeout(timer);
+				this.#endReaders.delete(finish);
+				signal.removeEventListener('abort', finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, timeoutMs);
+			this.#endReaders.add(finish);
+			signal.addEventListener('abort', finish);
+		});
+	}
+
 	async #changed(signal: AbortSignal): Promise<void> {
 		await new Promise<void>((resolve) => {
 			const finish = () => {
--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -37,6 +37,19 @@
 /** Position from which a caller continues an answer. */
 export type ResumePosition = {attempt: number; offset: number};
 
+type FollowOptions = {
+	signal: AbortSignal;
+	resume?: ResumePosition;
+	/** Shortest time between two texts of the answer. */
+	coalesceMs?: number;
+};
+
+/** Far below the 61 ms between tokens that callers may expect; bursts of an engine share a chunk. */
+const STREAM_COALESCE_MS = 10;
+
+/** Without a streaming caller, the text only serves to continue a lost attempt. */
+export const WHOLE_ANSWER_COALESCE_MS = 250;
+
 type Attempt = {grant: Grant; payload: CallPayload; receivedMs: number};
 
 const followGraceMs = 30_000;
@@ -135,7 +148,7 @@
 	async follow(
 		input: AcceptInput,
 		reader: AnswerReader,
-		{signal, resume}: {signal: AbortSignal; resume?: ResumePosition},
+		{signal, resume, coalesceMs = STREAM_COALESCE_MS}: FollowOptions,
 	): Promise<FollowedCall> {
 		const delivery = new Delivery(reader, resume);
 		const endMs = performance.now() + 2 * input.timeoutMs + followGraceMs;
@@ -156,7 +169,7 @@
 				const end = await this.#readAttempt(
 					{...state, receivedMs: performance.now()},
 					delivery,
-					signal,
+					{signal, coalesceMs},
 				);
 				if (end.type === 'final') {
 					return finishAttempt(state.grant, end, delivery);
@@ -208,13 +221,13 @@
 	async #readAttempt(
 		{grant, payload, receivedMs}: Attempt,
 		delivery: Delivery,
-		signal: AbortSignal,
+		{signal, coalesceMs}: {signal: AbortSignal; coalesceMs: number},
 	): Promise<AttemptEnd> {
 		const fromOffset = delivery.begin(grant.attempt);
 		const timeoutMs = grant.timeoutMs - (performance.now() - receivedMs);
 		return readAttempt(
 			this.#peers,
-			{grant: {...grant, timeoutMs}, payload, fromOffset},
+			{grant: {...grant, timeoutMs}, payload, fromOffset, coalesceMs},
 			({offset, text}) => {
 				delivery.take(offset, text);
 			},
--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -9,10 +9,11 @@
 } from '../call-contracts.ts';
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {messageMarker} from '../dispatcher/run-model-call.ts';
-import type {
-	AnswerReader,
-	FollowedCall,
-	ResumePosition,
+import {
+	type AnswerReader,
+	type FollowedCall,
+	type ResumePosition,
+	WHOLE_ANSWER_COALESCE_MS,
 } from './call-follower.ts';
 import {checkRequestId, type EntryCore, hashRequest} from './entry-core.ts';
 import {
@@ -262,6 +263,7 @@
 ): Promise<void> => {
 	const call = await core.follower.follow(input, wholeAnswer, {
 		signal: callerSignal(response),
+		coalesceMs: WHOLE_ANSWER_COALESCE_MS,
 	});
 	if (call.outcome.status === 'failed') {
 		throw failedCall(call.outcome, input);
@@ -341,6 +343,7 @@
 		try {
 			const call = await core.follower.follow(input, wholeAnswer, {
 				signal: callerSignal(response),
+				coalesceMs: WHOLE_ANSWER_COALESCE_MS,
 			});
 			if (call.outcome.status === 'failed') {
 				throw failedCall(call.outcome, input);
--- a/packages/daemon/src/entry/read-attempt.ts
+++ b/packages/daemon/src/entry/read-attempt.ts
@@ -10,6 +10,8 @@
 	grant: Grant;
 	payload: CallPayload;
 	fromOffset: number;
+	/** Shortest time between two chunks. */
+	coalesceMs: number;
 };
 
 type Chunk = Extract<DispatchEvent, {type: 'chunk'}>;
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -34,6 +34,8 @@
 	grant: z.custom<Grant>((value) => typeof value === 'object'),
 	payload: z.custom<CallPayload>((value) => typeof value === 'object'),
 	fromOffset: z.int().default(0),
+	/** Shortest time between two chunks. */
+	coalesceMs: z.number().min(0).max(1000).default(0),
 });
 
 /** Time for which a finished run is kept for readers that attach late. */
@@ -113,7 +115,11 @@
 
 	#serve(peers: PeersService): void {
 		peers.handleStream('dispatch.run', dispatchSchema, (input, signal) =>
-			this.#open(input.grant, input.payload).read(input.fromOffset, signal),
+			this.#open(input.grant, input.payload).read(
+				input.fromOffset,
+				signal,
+				input.coalesceMs,
+			),
 		);
 		peers.handle('dispatch.start', dispatchSchema, async (input) => {
 			this.#open(input.grant, input.payload);
