Keep JSON for the commands of the replicated log

Cause: msgpackr without its native part decodes a command in 8.0 us, JSON.parse in 4.2 us; encoding takes 6.0 and 5.2 us. Each command is decoded by three replicas, so MessagePack costs more processor time and saves 72 of 424 bytes. Ruled out: the native part, because replicas with and without it may decode damaged text differently, and the records of msgpackr, which need state shared by all readers of a log.

Conclusion: four commands a call are about 0.1 ms of the measured 8 to 12 ms; JSON of commands is not where the time goes.

--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -11,7 +11,6 @@
 	type CommittedEntry,
 	StateMachine,
 } from '@marjoramcove/consensus';
-import {ValidationError} from '@marjoramcove/errors';
 import {
 	createProgramsState,
 	decodePrograms,
@@ -23,36 +22,15 @@
 	type ProgramsState,
 	stepPrograms,
 } from '@marjoramcove/programs';
-import {BinaryCodec} from '@marjoramcove/transport';
 import {CommandClock} from '../owner/command-clock.ts';
 
-const commandCodec = new BinaryCodec('command of the replicated log', 1);
-
-/** Encodes a command for the replicated log: a format byte and MessagePack. */
+/** Encodes a command for the replicated log. */
 export const encodeCommand = (
 	command: ProgramCommand | ConfigurationCommand,
-): Uint8Array => commandCodec.join([commandCodec.encode(command)]);
-
-/**
- * Decodes a command of the replicated log.
- *
- * @throws ValidationError when it is damaged or was written in another format.
- */
-export const decodeCommand = <
-	Command extends ProgramCommand | ConfigurationCommand,
->(
-	bytes: Uint8Array,
-): Command => {
-	const [command, ...rest] = commandCodec.decode(bytes);
-	if (command === undefined || rest.length > 0) {
-		throw new ValidationError(
-			'A command of the replicated log is damaged: it is not one value.',
-			'Run the same version on all daemons.',
-		);
-	}
+): Uint8Array => Buffer.from(JSON.stringify(command));
 
-	return command as Command;
-};
+const decodeCommand = <Command>(bytes: Uint8Array): Command =>
+	JSON.parse(Buffer.from(bytes).toString('utf8')) as Command;
 
 /** Replicated configuration. */
 export class ConfigurationMachine extends StateMachine {
