--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -10,7 +10,7 @@
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {messageMarker} from '../dispatcher/assemble-chat-messages.ts';
 import type {AnswerReader, ResumePosition} from './answer-delivery.ts';
-import type {FollowedCall} from './call-follower.ts';
+import {type FollowedCall, WHOLE_ANSWER_COALESCE_MS} from './call-follower.ts';
 import {checkRequestId, type EntryCore, hashRequest} from './entry-core.ts';
 import {
 	type Handler,
@@ -259,6 +259,7 @@
 ): Promise<void> => {
 	const call = await core.follower.follow(input, wholeAnswer, {
 		signal: callerSignal(response),
+		coalesceMs: WHOLE_ANSWER_COALESCE_MS,
 	});
 	if (call.outcome.status === 'failed') {
 		throw failedCall(call.outcome, input);
@@ -338,6 +339,7 @@
 		try {
 			const call = await core.follower.follow(input, wholeAnswer, {
 				signal: callerSignal(response),
+				coalesceMs: WHOLE_ANSWER_COALESCE_MS,
 			});
 			if (call.outcome.status === 'failed') {
 				throw failedCall(call.outcome, input);
