Bound the memory of the logs of all groups together

Small commands were copied into the blocks of 8 KiB that Node.js shares among all small buffers, so that a kept entry kept blocks of other data alive.

The groups of a host now share logMemorySizeBytes (limits.logMemorySizeBytes, 8 MiB, counted with 200 B per entry). Above it, each group drops its share of entries that are applied and durable; what a live replica still needs stays until the double is reached.

Commands of the log have blocks of their own.

Trace before the change, process.memoryUsage() each 2 s of the leading daemon under 48 callers (8 daemons, machine busy, 144 calls/s, 25 s): array buffers 0.8 -> 23 MB, heap after a full collection 23 -> 47 MB, heap before it up to 113 MB, resident 91 -> 244 MB. So most of the growth is old space that is not collected yet (140 MB of heap reserved for 47 MB in use); log entries are the array buffers and a part of the heap. The other disk daemons grew from 88 to 113 MB.

Ruled out: reading dropped entries from the write-ahead log. Its segments are shared by all groups and have no index by entry.

Tests: pure ones for what may be dropped, one with three hosts and a replica 300 entries behind, and the simulated daemons of the soak keep 5,000 B of log over all groups, so that all randomised runs drop entries.

--- a/packages/consensus/src/describe-group.ts
+++ b/packages/consensus/src/describe-group.ts
@@ -92,6 +92,7 @@
 		appliedIndex: state.appliedIndex,
 		snapshotIndex: group.snapshotMeta?.index ?? 0,
 		historyBytes: group.history.lengthBytes,
+		logMemoryBytes: group.state.log.sizeBytes,
 		replicas: describeReplicas(state, nowMs),
 		repair: describeRepair(group, membership),
 	};
--- a/packages/consensus/src/group-port.ts
+++ b/packages/consensus/src/group-port.ts
@@ -29,6 +29,8 @@
 	send: (to: PeerAddress, message: PeerMessage) => void;
 	/** Asks for a call of {@link ReplicaGroup.flush}. */
 	scheduleFlush: () => void;
+	/** Entries were applied, so that the logs in memory may be trimmed. */
+	logGrown: () => void;
 	leadershipChanged: () => void;
 	snapshotSaved: () => void;
 	fail: (error: unknown) => void;
--- a/packages/consensus/src/host-disk.ts
+++ b/packages/consensus/src/host-disk.ts
@@ -95,7 +95,7 @@
 	GroupPort,
 	| 'fail'
 	| 'leadershipChanged'
-	| 'report'
+	| 'logGrown'
 	| 'scheduleFlush'
 	| 'send'
 	| 'snapshotSaved'
@@ -110,4 +110,7 @@
 	snapshots: disk.snapshots,
 	openHistory: async () => disk.openHistory(groupId),
 	append: async (records) => disk.log.append(records),
+	report(event, fields) {
+		options.onEvent?.(event, fields);
+	},
 });
--- a/packages/consensus/src/peer-codec.ts
+++ b/packages/consensus/src/peer-codec.ts
@@ -1,5 +1,6 @@
 import {ValidationError} from '@marjoramcove/errors';
 import type {GroupId} from '@marjoramcove/types';
+import {copyCommand} from './copy-command.ts';
 import type {PeerBatch, PeerMessage} from './peer-messages.ts';
 import type {LogEntry} from './raft-types.ts';
 
@@ -190,7 +191,7 @@
 
 	/** Copies a part out of the batch, so that a kept entry does not keep the whole batch in memory. */
 	takeCopy(lengthBytes: number) {
-		return Buffer.from(this.takePart(lengthBytes));
+		return copyCommand(this.takePart(lengthBytes));
 	}
 }
 
--- a/packages/consensus/src/raft-log.ts
+++ b/packages/consensus/src/raft-log.ts
@@ -1,5 +1,17 @@
 import type {LogEntry} from './raft-types.ts';
 
+/** Memory that an entry takes beside its command. */
+const ENTRY_BYTES = 200;
+
+const sizeOf = (entries: readonly LogEntry[]): number => {
+	let sizeBytes = 0;
+	for (const {command} of entries) {
+		sizeBytes += command.length + ENTRY_BYTES;
+	}
+
+	return sizeBytes;
+};
+
 /**
  * The entries of a log after a base entry, in memory.
  *
@@ -13,11 +25,18 @@
 	#baseIndex: number;
 	#baseTerm: number;
 	#entries: LogEntry[];
+	#sizeBytes: number;
 
 	constructor(baseIndex: number, baseTerm: number, entries: LogEntry[] = []) {
 		this.#baseIndex = baseIndex;
 		this.#baseTerm = baseTerm;
 		this.#entries = entries;
+		this.#sizeBytes = sizeOf(entries);
+	}
+
+	/** Memory that the entries take. */
+	get sizeBytes(): number {
+		return this.#sizeBytes;
 	}
 
 	/** Index of the entry before the first one that is held. */
@@ -60,17 +79,21 @@
 		for (const entry of entries) {
 			this.#entries.push(entry);
 		}
+
+		this.#sizeBytes += sizeOf(entries);
 	}
 
 	/** Removes the entries after `index`. */
 	truncateAfter(index: number): void {
-		this.#entries.length = index - this.baseIndex;
+		this.#sizeBytes -= sizeOf(this.#entries.splice(index - this.baseIndex));
 	}
 
 	/** Forgets the entries up to and including `index`. */
 	compact(index: number): void {
 		this.#baseTerm = this.termAt(index)!;
-		this.#entries = this.#entries.slice(index - this.baseIndex);
+		const dropped = this.#entries.slice(0, index - this.baseIndex);
+		this.#sizeBytes -= sizeOf(dropped);
+		this.#entries = this.#entries.slice(dropped.length);
 		this.#baseIndex = index;
 	}
 
@@ -79,6 +102,19 @@
 		this.#baseIndex = index;
 		this.#baseTerm = term;
 		this.#entries = [];
+		this.#sizeBytes = 0;
+	}
+
+	/** Last index that must go, so that at most this many bytes of entries stay. */
+	findTrimIndex(sizeBytes: number): number {
+		let rest = this.#sizeBytes;
+		let index = this.baseIndex;
+		while (rest > sizeBytes && index < this.lastIndex) {
+			index += 1;
+			rest -= this.at(index)!.command.length + ENTRY_BYTES;
+		}
+
+		return index;
 	}
 
 	/** First index of the run of entries with the term of `index`. */
--- a/packages/consensus/src/raft-state.ts
+++ b/packages/consensus/src/raft-state.ts
@@ -8,6 +8,7 @@
 } from './membership.ts';
 import {RaftLog} from './raft-log.ts';
 import type {
+	Progress,
 	LogEntry,
 	RaftMessage,
 	RaftSettings,
@@ -224,3 +225,11 @@
 ): void => {
 	context.actions.push({type: 'send', to, message, isAfterSync});
 };
+
+/** Whether a replica answered within the shortest election timeout. */
+export const isLive = (
+	state: RaftState,
+	progress: Progress,
+	nowMs: number,
+): boolean =>
+	nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs;
--- a/packages/consensus/src/raft-types.ts
+++ b/packages/consensus/src/raft-types.ts
@@ -106,6 +106,15 @@
 			votedFor: DiskId | undefined;
 	  }
 	| {type: 'snapshot-taken'; index: number}
+	/** The log takes too much memory; entries that are applied and durable may go. */
+	| {
+			type: 'trim-log';
+			sizeBytes: number;
+			/** Last entry of the latest snapshot; a replica that fetches it needs what follows. */
+			snapshotIndex: number;
+			/** Whether entries go that a live replica still needs. */
+			isForced: boolean;
+	  }
 	/** A fetched snapshot is on the disk and may replace the state. */
 	| {type: 'snapshot-installed'; meta: SnapshotMeta}
 	/** The fetch of a snapshot was given up. */
--- a/packages/consensus/src/replica-group.ts
+++ b/packages/consensus/src/replica-group.ts
@@ -298,7 +298,11 @@
 				break;
 			}
 
-			case 'offer-snapshot':
+			case 'offer-snapshot': {
+				this.#keeper.offer(action.to, this.#machine, this.state, this.history);
+				break;
+			}
+
 			case 'fetch-snapshot':
 			case 'restore-snapshot': {
 				this.#performSnapshotAction(action);
@@ -332,13 +336,7 @@
 	}
 
 	#performSnapshotAction(action: RaftAction) {
-		if (action.type === 'offer-snapshot' && this.#keeper.latest) {
-			this.#port.send(action.to, {
-				type: 'snapshot-offer',
-				term: this.state.term,
-				meta: this.#keeper.latest,
-			});
-		} else if (action.type === 'fetch-snapshot') {
+		if (action.type === 'fetch-snapshot') {
 			this.#startFetch(action.from, action.meta);
 		} else if (action.type === 'restore-snapshot') {
 			this.#machine.restoreSnapshot(this.#fetch!.bytes);
@@ -365,6 +363,8 @@
 		if (this.#keeper.isDue(this.state, sizeBytes)) {
 			this.takeSnapshot();
 		}
+
+		this.#port.logGrown();
 	}
 
 	#startFetch(from: ReplicaDescriptor, meta: SnapshotMeta) {
--- a/packages/consensus/src/replica-host.test.ts
+++ b/packages/consensus/src/replica-host.test.ts
@@ -32,6 +32,8 @@
 	readonly cutOff = new Set<DaemonId>();
 	readonly events: string[] = [];
 	readonly time = new VirtualTime();
+	snapshotEveryEntries = 50;
+	logMemorySizeBytes: number | undefined;
 
 	async start(daemonId: DaemonId) {
 		const machine = new ListMachine();
@@ -46,7 +48,8 @@
 			},
 			clock: this.time,
 			raft: {keptEntries: 10},
-			snapshotEveryEntries: 50,
+			snapshotEveryEntries: this.snapshotEveryEntries,
+			logMemorySizeBytes: this.logMemorySizeBytes,
 			commandSizeBytes: 100,
 			onEvent: (event) => {
 				this.events.push(event);
@@ -157,6 +160,28 @@
 		expect(Buffer.from(bytes).toString()).toBe('0;1;');
 	});
 
+	it('bounds the memory of the log and brings a replica that is hundreds of entries behind up to date (failure: logs fill the memory, or the replica waits forever)', async () => {
+		for (const id of ids) {
+			trio.kill(id);
+		}
+
+		trio.logMemorySizeBytes = 10_000;
+		trio.snapshotEveryEntries = 1_000_000;
+		await trio.startAll();
+		const leader = await trio.leader();
+		const behind = ids.find((id) => id !== leader.daemonId)!;
+		trio.cutOff.add(behind);
+		await trio.proposeMany(300);
+		const kept = trio.hosts
+			.get(leader.daemonId)!
+			.status()
+			.map(({logMemoryBytes}) => logMemoryBytes);
+		expect(kept[0]).toBeLessThanOrEqual(10_000);
+		trio.cutOff.delete(behind);
+		await trio.proposeMany(50);
+		await trio.awaitEqual(350);
+	});
+
 	it('never lets an empty disk act as the voter that was lost, and repairs the group', async () => {
 		await trio.proposeMany(120);
 		const leader = await trio.leader();
--- a/packages/consensus/src/replica-host.ts
+++ b/packages/consensus/src/replica-host.ts
@@ -28,6 +28,7 @@
 	ReplicaHostOptions,
 } from './replica-options.ts';
 import type {StateMachine} from './state-machine.ts';
+import {LogTrimmer} from './trim-logs.ts';
 import type {ProposalOutcome} from './waiters.ts';
 
 /**
@@ -68,6 +69,7 @@
 	readonly #options: ReplicaHostOptions;
 	readonly #parts: HostDisk;
 	readonly #groups = new Map<GroupId, ReplicaGroup>();
+	readonly #trimmer: LogTrimmer;
 	readonly #outbox: Outbox;
 	readonly #listeners: LeadershipListeners;
 	/** Disks of daemons that asked to join, the latest one per daemon. */
@@ -83,6 +85,7 @@
 		this.#parts = parts;
 		this.diskId = parts.diskId;
 		this.daemonId = options.daemonId;
+		this.#trimmer = new LogTrimmer(this.#groups, options.logMemorySizeBytes);
 		this.#outbox = new Outbox(parts.diskId, options.send);
 		this.#listeners = new LeadershipListeners(parts.clock, (groupId) =>
 			this.#isStopped ? undefined : this.leadership(groupId),
@@ -302,6 +305,7 @@
 			scheduleFlush: () => {
 				this.#scheduleFlush();
 			},
+			logGrown: this.#trimmer.schedule,
 			leadershipChanged: () => {
 				this.#listeners.notify(groupId);
 			},
@@ -311,9 +315,6 @@
 			fail: (error) => {
 				this.#fail(error);
 			},
-			report: (event, fields) => {
-				this.#options.onEvent?.(event, fields);
-			},
 		};
 	}
 
--- a/packages/consensus/src/replica-options.ts
+++ b/packages/consensus/src/replica-options.ts
@@ -25,6 +25,12 @@
 	 * if that is more. It bounds the memory that the log takes. Default 4 MiB.
 	 */
 	snapshotEveryBytes?: number;
+	/**
+	 * Memory that the entries of all groups may take together before applied ones are dropped; a live
+	 * replica that is behind can double it. A replica that is further behind gets a snapshot. Default
+	 * 8 MiB.
+	 */
+	logMemorySizeBytes?: number;
 	/** Size of a segment of the write-ahead log. Default 16 MiB. */
 	segmentSizeBytes?: number;
 	/** Largest command. Default 8 MiB. */
@@ -97,6 +103,8 @@
 	appliedIndex: number;
 	snapshotIndex: number;
 	historyBytes: number;
+	/** Memory that the entries of the log take. */
+	logMemoryBytes: number;
 	replicas: ReplicaStatus[];
 	repair: RepairStatus | undefined;
 };
--- a/packages/consensus/src/replicate.ts
+++ b/packages/consensus/src/replicate.ts
@@ -1,5 +1,5 @@
 import type {ReplicaDescriptor} from './membership.ts';
-import {currentMembership, sendMessage} from './raft-state.ts';
+import {currentMembership, isLive, sendMessage} from './raft-state.ts';
 import type {
 	LogEntry,
 	Progress,
@@ -69,10 +69,14 @@
 	replica: ReplicaDescriptor,
 	progress: Progress,
 ) => {
+	const {state, nowMs} = context;
 	progress.mode = 'snapshot';
-	progress.waitingSinceMs = context.nowMs;
+	progress.waitingSinceMs = nowMs;
 	progress.inFlight = [];
-	context.actions.push({type: 'offer-snapshot', to: replica});
+	// An offer may need a new snapshot; one that is silent would cause one at every retry.
+	if (isLive(state, progress, nowMs)) {
+		context.actions.push({type: 'offer-snapshot', to: replica});
+	}
 };
 
 /** Sends what the replica lacks, as far as the flow control allows. */
--- a/packages/consensus/src/snapshot-keeper.ts
+++ b/packages/consensus/src/snapshot-keeper.ts
@@ -1,6 +1,7 @@
 import {type HistoryStream, isDiskFull} from '@marjoramcove/storage';
 import type {GroupId} from '@marjoramcove/types';
 import type {GroupPort} from './group-port.ts';
+import type {ReplicaDescriptor} from './membership.ts';
 import {membershipAt} from './raft-state.ts';
 import type {RaftState, SnapshotMeta} from './raft-types.ts';
 import type {StateMachine} from './state-machine.ts';
@@ -40,6 +41,25 @@
 		);
 	}
 
+	/**
+	 * Offers the latest snapshot. One that ends before the log in memory begins would leave a gap, so a
+	 * new one is taken; the protocol repeats the offer.
+	 */
+	offer(
+		to: ReplicaDescriptor,
+		machine: StateMachine,
+		state: RaftState,
+		history: HistoryStream,
+	): void {
+		const meta = this.latest;
+		if (meta && meta.index >= state.log.baseIndex) {
+			const {term} = state;
+			this.#port.send(to, {type: 'snapshot-offer', term, meta});
+		} else {
+			this.take(machine, state, history);
+		}
+	}
+
 	/** Encodes the state now and saves it in the background. */
 	take(machine: StateMachine, state: RaftState, history: HistoryStream): void {
 		if (this.#isSaving || state.appliedIndex <= (this.latest?.index ?? 0)) {
--- a/packages/consensus/src/step-raft.ts
+++ b/packages/consensus/src/step-raft.ts
@@ -1,3 +1,4 @@
+import {compactLog, trimLog} from './trim-log.ts';
 import {assertInvariant} from '@marjoramcove/errors';
 import {
 	continueReplacements,
@@ -259,13 +260,7 @@
 		base -= 1;
 	}
 
-	if (base > state.log.baseIndex) {
-		state.log.compact(base);
-		const first = state.memberships.findLastIndex(
-			(known) => known.index <= base,
-		);
-		state.memberships = state.memberships.slice(Math.max(0, first));
-	}
+	compactLog(state, base);
 };
 
 const setStalled = (
@@ -304,6 +299,7 @@
 	read,
 	synced: noteSynced,
 	'snapshot-taken': compact,
+	'trim-log': trimLog,
 	'snapshot-installed'(context, event) {
 		installSnapshot(context, event.meta);
 	},
--- a/packages/consensus/src/waiters.ts
+++ b/packages/consensus/src/waiters.ts
@@ -1,3 +1,4 @@
+import {copyCommand} from './copy-command.ts';
 import {
 	CommitUnknownError,
 	NotLeaderError,
@@ -51,7 +52,7 @@
 			this.#nextId += 1;
 			this.#proposals.set(this.#nextId, {resolve, reject});
 			// A copy, because the log keeps it, and the caller may reuse a larger buffer.
-			this.#queue.push({id: this.#nextId, command: Buffer.from(command)});
+			this.#queue.push({id: this.#nextId, command: copyCommand(command)});
 			this.#options.scheduleFlush();
 		});
 	}
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -87,6 +87,7 @@
 				electionTimeoutMaxMs: timing.electionTimeoutMaxMs,
 			},
 			snapshotEveryEntries: limits.snapshotEntries,
+			logMemorySizeBytes: limits.logMemorySizeBytes,
 			onFatal: (error) => {
 				this.#context.fail(error);
 			},
--- a/packages/soak/src/consensus/simulated-daemon.ts
+++ b/packages/soak/src/consensus/simulated-daemon.ts
@@ -252,6 +252,8 @@
 			},
 			raft: {keptEntries: 20},
 			snapshotEveryEntries: 60,
+			// About 20 entries over all groups, so that replicas that are behind need snapshots.
+			logMemorySizeBytes: 5000,
 			segmentSizeBytes: 16_384,
 			onFatal: (error) => {
 				if (process === this.#process) {
