Route by the speed of an engine only when it is nearly stopped

A router that sends it nothing gets no new observation (one had 0.46 after 25 s). During the fault, programs that left the engine computed their prefixes again.

Routing now uses an observed speed only below 0.1. The open calls of a slowed engine keep new programs away from it. Admission still uses the speed.

--- a/packages/scheduler/src/choose-engine.ts
+++ b/packages/scheduler/src/choose-engine.ts
@@ -14,6 +14,13 @@
 /** Smallest relative speed that estimates divide by; an engine below it is as good as stopped. */
 const LEAST_RELATIVE_SPEED = 0.02;
 
+/**
+ * Relative speed from which routing counts an engine as normal. Its open calls already show that it is
+ * slow, and the estimate of its speed is late: programs that left an engine at a third of its speed
+ * computed their prefixes again elsewhere, and the engine was avoided for 15 s after it was well.
+ */
+const NORMAL_FROM_SPEED = 0.1;
+
 /** Whether an engine may get new work. */
 export const isEligible = (view: EngineView): boolean =>
 	view.healthy && !view.leaving && view.slots > 0;
@@ -49,7 +56,10 @@
 	settings: PolicySettings,
 ): number => {
 	const tuning = readTuning(settings);
-	const speed = Math.max(view.relativeSpeed, LEAST_RELATIVE_SPEED);
+	const speed =
+		view.relativeSpeed < NORMAL_FROM_SPEED
+			? Math.max(view.relativeSpeed, LEAST_RELATIVE_SPEED)
+			: 1;
 	const prefillTokens = Math.max(0, request.promptTokens - view.cachedTokens);
 	const prefillMs = prefillTokens * tuning.prefillMsPerToken;
 	const calls = view.inFlight + view.queued;
--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -109,6 +109,32 @@
 			),
 		);
 	});
+
+	it('keeps a program at its slowed engine, and moves it from one that is nearly stopped', () => {
+		const views = (relativeSpeed: number) =>
+			['other', 'cached'].map((id): EngineView => ({
+				upstreamId: asId<UpstreamId>(id),
+				zone,
+				slots: 32,
+				inFlight: 10,
+				queued: 0,
+				outstandingTokens: 0,
+				cachedTokens: id === 'cached' ? 9000 : 0,
+				cacheCapacityTokens: 600_000,
+				relativeSpeed: id === 'cached' ? relativeSpeed : 1,
+				leaving: false,
+				healthy: true,
+			}));
+		const call = {
+			...request,
+			promptTokens: 10_000,
+			expectedCompletionTokens: 120,
+		};
+		const choose = (relativeSpeed: number) =>
+			chooseEngine(call, views(relativeSpeed), settings, () => 0)?.upstreamId;
+		expect(choose(0.3)).toBe('cached');
+		expect(choose(0.03)).toBe('other');
+	});
 });
 
 describe('compareCalls', () => {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -48,7 +48,7 @@
 	/** Estimate of the prompt tokens cached on this engine for the program at hand. */
 	cachedTokens: number;
 	cacheCapacityTokens: number;
-	/** Observed speed relative to the fleet's median; below 1 is slower. */
+	/** Observed speed relative to the fleet's median; routing counts all speeds from 0.1 on as normal. */
 	relativeSpeed: number;
 	leaving: boolean;
 	healthy: boolean;
