Add the rosters of registrars to the membership

Cause: members must reach the leader as differences when daemons send their heartbeats to registrars. A summary has the members that joined, changed or went silent since a version, with a digest of all; a full list is sent only when the copy of the leader does not match. A gap in the heartbeats of a daemon counts as a change, so that the leader knows which registrar heard it last. Ruled out: summaries from each registrar to each other one; 18 registrars would send 306 streams, and versions of the members would have no common order. The leader passes the differences on instead. Conclusion: pure functions only; the daemon does not use them yet.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,4 +1,6 @@
+export {rankRegistrars} from './choose-registrar.ts';
 export {rankByHash} from './hash.ts';
+export * from './member-relay.ts';
 export {
 	type DaemonPhase,
 	type Member,
@@ -6,6 +8,8 @@
 	toMember,
 } from './members.ts';
 export * from './queries.ts';
+export * from './registrar-table.ts';
+export * from './roster.ts';
 export {
 	createMembershipState,
 	DEFAULT_MEMBERSHIP_SETTINGS,
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -6,6 +6,8 @@
 export type MemberReport = {
 	daemonId: DaemonId;
 	incarnation: IncarnationId;
+	/** Wall clock of the VM at the start of the incarnation. */
+	startedAtMs?: number;
 	zone: ZoneName;
 	/** HTTP address for callers. */
 	address: string;
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -1,4 +1,4 @@
-import type {DaemonId, UpstreamId} from '@marjoramcove/types';
+import type {DaemonId, IncarnationId, UpstreamId} from '@marjoramcove/types';
 import type {MemberRecord, MemberReport} from './members.ts';
 
 export type MembershipSettings = {
@@ -54,6 +54,13 @@
 	/** `sequence` grows with each heartbeat of an incarnation. */
 	| {type: 'heartbeat'; sequence: number; report: MemberReport}
 	| {type: 'tick'}
+	/** A registrar still hears these incarnations. */
+	| {
+			type: 'alive';
+			daemons: Array<{daemonId: DaemonId; incarnation: IncarnationId}>;
+	  }
+	/** The registrar of these daemons, or the leader of a registrar, hears them no more. */
+	| {type: 'silent'; daemonIds: DaemonId[]}
 	/** The registered upstreams of the configuration, with the operator's label. */
 	| {
 			type: 'upstreams';
--- a/packages/membership/src/step-members.ts
+++ b/packages/membership/src/step-members.ts
@@ -1,5 +1,5 @@
 import type {DaemonId, IncarnationId} from '@marjoramcove/types';
-import {isSameMember, type MemberRecord} from './members.ts';
+import {isSameMember, type MemberRecord, type MemberReport} from './members.ts';
 import {
 	KEPT_REMOVALS,
 	type MembershipAction,
@@ -17,10 +17,23 @@
 	record.changedAt = state.version;
 };
 
+/**
+ * Whether a report is of an incarnation that began before the live one. After a leader change the
+ * registrars may report both in any order. A silent record is always replaced, because the wall clock
+ * of a VM may have been set back.
+ */
+const isEarlier = (record: MemberRecord, report: MemberReport): boolean =>
+	record.live &&
+	report.incarnation !== record.report.incarnation &&
+	report.startedAtMs !== undefined &&
+	record.report.startedAtMs !== undefined &&
+	report.startedAtMs < record.report.startedAtMs;
+
 const isStale = (
 	record: MemberRecord,
 	{report, sequence}: Heartbeat,
 ): boolean =>
+	isEarlier(record, report) ||
 	record.pastIncarnations.includes(report.incarnation) ||
 	(report.incarnation === record.report.incarnation &&
 		sequence <= record.sequence);
@@ -82,6 +95,46 @@
 	return [...lost, {type: 'members-changed', version: state.version}];
 };
 
+/** Notes that a registrar still hears these daemons. */
+export const keepMembers = (
+	state: MembershipState,
+	{daemons}: Extract<MembershipEvent, {type: 'alive'}>,
+	nowMs: number,
+): MembershipAction[] => {
+	const {version} = state;
+	for (const {daemonId, incarnation} of daemons) {
+		const record = state.members.get(daemonId);
+		if (record?.report.incarnation === incarnation) {
+			record.lastHeardMs = nowMs;
+			if (!record.live) {
+				record.live = true;
+				markChanged(state, record);
+			}
+		}
+	}
+
+	return state.version === version
+		? []
+		: [{type: 'members-changed', version: state.version}];
+};
+
+/** Marks daemons as lost that their registrar hears no more. */
+export const loseMembers = (
+	state: MembershipState,
+	{daemonIds}: Extract<MembershipEvent, {type: 'silent'}>,
+	nowMs: number,
+): MembershipAction[] => {
+	const silentSinceMs = nowMs - state.settings.memberTimeoutMs;
+	for (const daemonId of daemonIds) {
+		const record = state.members.get(daemonId);
+		if (record) {
+			record.lastHeardMs = Math.min(record.lastHeardMs, silentSinceMs);
+		}
+	}
+
+	return daemonIds.length > 0 ? expireMembers(state, nowMs) : [];
+};
+
 const forgetMember = (state: MembershipState, daemonId: DaemonId): void => {
 	state.members.delete(daemonId);
 	state.version++;
--- a/packages/membership/src/step-membership.ts
+++ b/packages/membership/src/step-membership.ts
@@ -5,7 +5,12 @@
 	MembershipState,
 	MembershipStep,
 } from './state.ts';
-import {expireMembers, takeHeartbeat} from './step-members.ts';
+import {
+	expireMembers,
+	keepMembers,
+	loseMembers,
+	takeHeartbeat,
+} from './step-members.ts';
 import {takeHealth, takeUpstreams, takeVmList} from './step-upstreams.ts';
 
 const applyEvent = (
@@ -22,6 +27,14 @@
 			return expireMembers(state, nowMs);
 		}
 
+		case 'alive': {
+			return keepMembers(state, event, nowMs);
+		}
+
+		case 'silent': {
+			return loseMembers(state, event, nowMs);
+		}
+
 		case 'upstreams': {
 			return takeUpstreams(state, event, nowMs);
 		}
