Send heartbeats to registrars instead of the configuration leader

The daemons with state take the heartbeats. A registrar confirms the configuration with one request for all its daemons when the last confirmation is older than an eighth of a lease, and at once after a change. The leader runs at most one quorum round in 100 ms unless a change or a new member waits. After a commit the leader asks the registrars and these ask their daemons. A daemon moves to another registrar when one fails, is leaving or has no confirmation. Ruled out: waiting for a new confirmation with each heartbeat; on a machine with a load of 30 the leases of 2 s in i9 then ran out once (configuration-lease-expired). A confirmation that is younger than a quarter of a lease is now used while it is renewed.

--- a/packages/daemon/src/daemon-context.ts
+++ b/packages/daemon/src/daemon-context.ts
@@ -19,6 +19,8 @@
 	metrics: MetricsRegistry;
 	/** Changes at each start of the process. */
 	incarnation: IncarnationId;
+	/** Wall clock at the start; orders the incarnations of this daemon. */
+	startedAtMs: number;
 	phase: DaemonPhase;
 	refusals: Counter;
 	retries: Counter;
@@ -46,6 +48,7 @@
 		logger,
 		metrics,
 		incarnation: asId<IncarnationId>(randomUUID()),
+		startedAtMs: Date.now(),
 		phase: 'starting',
 		refusals: metrics.counter(
 			'marjoramcove_refusals_total',
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -9,6 +9,7 @@
 	reasonOf,
 } from './daemon-context.ts';
 import {ConfigurationService} from './services/configuration-service.ts';
+import {ConfigurationLeaderService} from './services/configuration-leader-service.ts';
 import {DispatcherService} from './services/dispatcher-service.ts';
 import {EngineControllerService} from './services/engine-controller-service.ts';
 import {EntryService} from './services/entry-service.ts';
@@ -44,6 +45,7 @@
 			new PeersService(context),
 			new GroupClientService(context),
 			this.#replication,
+			new ConfigurationLeaderService(context),
 			new RegistrarService(context),
 			this.#configuration,
 			new UpstreamsService(context),
--- a/packages/daemon/src/services/configuration-leader-service.ts
+++ b/packages/daemon/src/services/configuration-leader-service.ts
@@ -4,9 +4,11 @@
 	changesSince,
 	configurationDigest,
 	type ConfigurationResult,
-	type DaemonConfirmation,
+	createConfirmationLedger,
 	evaluatePropagation,
+	expireRegistrarConfirmations,
 	listResources,
+	noteConfirmation,
 	type Propagation,
 	type ResourceKind,
 } from '@marjoramcove/configuration';
@@ -19,20 +21,34 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {
 	createMembershipState,
+	createRegistrarTable,
+	expireRegistrars,
 	liveDaemons,
 	membersSince,
 	type MembershipState,
+	noticesOf,
 	stepMembership,
+	takeSummary,
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {type DaemonContext, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
-import {type HeartbeatAnswer, heartbeatSchema} from './heartbeat-contract.ts';
+import {
+	type ConfirmAnswer,
+	confirmSchema,
+	memberTimeoutOf,
+} from './heartbeat-contract.ts';
+import {readLoads} from './read-loads.ts';
+import {RoundGate} from './round-gate.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
 const propagationPollMs = 25;
+/** Shortest time between two quorum rounds that nobody waits for urgently. */
+const roundIntervalMs = 100;
+/** Daemons of a lost registrar have this much longer to find another one. */
+const lostRegistrarFactor = 1.5;
 
 /** Outcome of a change for the operator. */
 export type ChangeOutcome = {
@@ -43,23 +59,24 @@
 	daemons: Array<{daemonId: DaemonId; revision: number; state: string}>;
 };
 
-/** The configuration leader: answers heartbeats, grants leases and takes changes. */
-export class RegistrarService extends Service {
+/** The configuration leader: confirms the configuration to the registrars and takes changes. */
+export class ConfigurationLeaderService extends Service {
 	readonly #context: DaemonContext;
-	readonly #confirmations = new Map<DaemonId, DaemonConfirmation>();
-	/** Upstreams in trouble by their dispatcher. */
-	readonly #notices = new Map<
-		DaemonId,
-		{notices: UpstreamNotice[]; atMs: number}
-	>();
+	#ledger = createConfirmationLedger();
+	readonly #rounds = new RoundGate(
+		async () => this.#replication.readBarrier(configGroup),
+		roundIntervalMs,
+	);
 
 	#replication!: ReplicationService;
 	#peers!: PeersService;
 	#membership!: MembershipState;
 	#term = -1;
 	#leaderSinceMs = 0;
-	#round: {startedAtMs: number; done: Promise<void>} | undefined;
-	#nextRound: Promise<void> | undefined;
+	#table = createRegistrarTable();
+	/** Members and notices that the registrars were last told of. */
+	#passedOn = '';
+	#passOnTimer: NodeJS.Timeout | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(context: DaemonContext) {
@@ -68,7 +85,7 @@
 	}
 
 	override get name() {
-		return 'registrar';
+		return 'configuration-leader';
 	}
 
 	override async start(kernel: ServiceDirectory) {
@@ -76,8 +93,8 @@
 		this.#resetMembership();
 		const peers = kernel.get<PeersService>('peers');
 		this.#peers = peers;
-		peers.handle('config.heartbeat', heartbeatSchema, async (input) =>
-			this.#takeHeartbeat(input),
+		peers.handle('config.confirm', confirmSchema, async (input) =>
+			this.#confirm(input),
 		);
 		peers.handle(
 			'config.change',
@@ -96,16 +113,14 @@
 			this.#describeMembers(),
 		);
 		this.#timer = setInterval(() => {
-			this.#membership = stepMembership(
-				this.#membership,
-				{type: 'tick'},
-				performance.now(),
-			).state;
+			this.#tick();
 		}, this.#context.settings.timing.heartbeatMs);
 	}
 
 	override async stop() {
 		clearInterval(this.#timer);
+		clearTimeout(this.#passOnTimer);
+		this.#rounds.stop();
 	}
 
 	/** Starts with empty soft state when this replica begins to lead. */
@@ -114,115 +129,119 @@
 		if (term !== this.#term) {
 			this.#term = term;
 			this.#leaderSinceMs = performance.now();
-			this.#confirmations.clear();
+			this.#ledger = createConfirmationLedger();
+			this.#table = createRegistrarTable();
 			this.#resetMembership();
 		}
 	}
 
+	#tick(): void {
+		const {timing, daemonId} = this.#context.settings;
+		const nowMs = performance.now();
+		expireRegistrars(
+			this.#table,
+			this.#membership,
+			memberTimeoutOf(timing.heartbeatMs),
+			nowMs,
+		);
+		stepMembership(this.#membership, {type: 'tick'}, nowMs);
+		expireRegistrarConfirmations(
+			this.#ledger,
+			timing.configurationLeaseMs,
+			nowMs,
+		);
+		if (this.#replication.leadership(configGroup).isLeader) {
+			this.#passOn(daemonId);
+		}
+	}
+
 	#resetMembership(): void {
 		const {heartbeatMs} = this.#context.settings.timing;
 		this.#membership = createMembershipState({
 			epoch: `${this.#term}-${this.#context.incarnation}`,
 			nowMs: performance.now(),
-			settings: {memberTimeoutMs: Math.max(1500, 4 * heartbeatMs)},
+			settings: {
+				memberTimeoutMs: lostRegistrarFactor * memberTimeoutOf(heartbeatMs),
+			},
 		});
 	}
 
-	async #takeHeartbeat({
-		sequence,
-		report,
-		known,
-		notices,
-	}: z.output<typeof heartbeatSchema>): Promise<HeartbeatAnswer> {
+	/** Confirms the configuration to a registrar after a quorum round that began after its request. */
+	async #confirm(
+		request: z.output<typeof confirmSchema>,
+	): Promise<ConfirmAnswer> {
 		await this.#replication.ensureLeader(configGroup);
 		this.#noteTerm();
 		const term = this.#term;
-		await this.#confirmLeadership();
-		if (this.#replication.leadership(configGroup).term !== term) {
+		await this.#rounds.next(request);
+		if (
+			this.#replication.leadership(configGroup).term !== term ||
+			this.#term !== term
+		) {
 			throw new NotLeaderError(configGroup);
 		}
 
-		const nowMs = performance.now();
-		this.#membership = stepMembership(
-			this.#membership,
-			{type: 'heartbeat', sequence, report},
-			nowMs,
-		).state;
-		this.#noteUpstreams(report.daemonId, notices);
-		const {state} = this.#replication.configuration;
-		const digest = configurationDigest(state);
-		this.#confirmations.set(report.daemonId, {
-			daemonId: report.daemonId,
-			appliedRevision: report.appliedRevision,
-			leaseGrantedAtMs: nowMs,
-		});
+		if (!this.#takeSummary(request)) {
+			return {needsFullSummary: true};
+		}
+
+		const isSettled =
+			performance.now() - this.#leaderSinceMs >=
+			this.#context.settings.timing.heartbeatMs;
 		return {
+			needsFullSummary: false,
 			leaseMs: this.#context.settings.timing.configurationLeaseMs,
-			digest,
-			...(report.appliedRevision < digest.revision && {
-				update: changesSince(state, report.appliedRevision),
+			digest: configurationDigest(this.#replication.configuration.state),
+			...(isSettled && {
+				members: membersSince(this.#membership, request.known),
 			}),
-			members: membersSince(this.#membership, known),
-			...this.#currentNotices(),
+			notices: noticesOf(
+				this.#table,
+				this.#membership,
+			) as unknown as UpstreamNotice[],
 		};
 	}
 
-	#noteUpstreams(daemonId: DaemonId, notices: UpstreamNotice[]): void {
-		if (notices.length === 0) {
-			this.#notices.delete(daemonId);
-		} else {
-			this.#notices.set(daemonId, {notices, atMs: performance.now()});
-		}
-	}
-
-	/** Notices of dispatchers that still send heartbeats. */
-	#currentNotices(): {notices?: UpstreamNotice[]} {
-		if (this.#notices.size === 0) {
-			return {};
+	/** Takes the members of a registrar; false when a full summary is needed. */
+	#takeSummary(request: z.output<typeof confirmSchema>): boolean {
+		const nowMs = performance.now();
+		const {registrarId, incarnation, confirmedRevision, summary} = request;
+		if (!takeSummary(this.#table, this.#membership, request, nowMs)) {
+			return false;
 		}
 
-		const oldestMs =
-			performance.now() - this.#membership.settings.memberTimeoutMs;
-		return {
-			notices: [...this.#notices.values()]
-				.filter(({atMs}) => atMs >= oldestMs)
-				.flatMap(({notices}) => notices),
-		};
+		const {members} = this.#table.mirrors.get(registrarId)!;
+		noteConfirmation(
+			this.#ledger,
+			{
+				key: `${registrarId} ${incarnation}`,
+				confirmedRevision,
+				held: [...members.values()]
+					.map(({report}) => report)
+					.filter(
+						({daemonId}) => this.#table.holders.get(daemonId) === registrarId,
+					),
+				removed: summary.removed,
+			},
+			nowMs,
+		);
+		this.#passOn(registrarId);
+		return true;
 	}
 
-	/**
-	 * Waits for a quorum round that began after this call. Heartbeats that arrive during a round share
-	 * the next one, so the number of rounds does not grow with the number of daemons.
-	 */
-	async #confirmLeadership(): Promise<void> {
-		if (!this.#round) {
-			return this.#startRound();
+	/** Lets the other registrars fetch changed members and notices, at most once per round interval. */
+	#passOn(except: DaemonId): void {
+		const notices = JSON.stringify(noticesOf(this.#table, this.#membership));
+		const facts = `${this.#membership.epoch} ${this.#membership.version} ${notices}`;
+		if (facts === this.#passedOn) {
+			return;
 		}
 
-		this.#nextRound ??= (async () => {
-			try {
-				await this.#round?.done;
-			} catch {
-				// The next round decides for itself.
-			}
-
-			this.#nextRound = undefined;
-			await this.#startRound();
-		})();
-		return this.#nextRound;
-	}
-
-	async #startRound(): Promise<void> {
-		const done = this.#replication.readBarrier(configGroup);
-		const round = {startedAtMs: performance.now(), done};
-		this.#round = round;
-		try {
-			await done;
-		} finally {
-			if (this.#round === round) {
-				this.#round = undefined;
-			}
-		}
+		this.#passedOn = facts;
+		this.#passOnTimer ??= setTimeout(() => {
+			this.#passOnTimer = undefined;
+			this.#refreshRegistrars({notifyDaemons: false});
+		}, roundIntervalMs);
 	}
 
 	async #change(
@@ -250,7 +269,7 @@
 			);
 		}
 
-		this.#notifyDaemons();
+		this.#refreshRegistrars({notifyDaemons: true});
 		const propagation = await this.#waitUntilInForce(result.revision, waitMs);
 		return {
 			revision: result.revision,
@@ -262,29 +281,29 @@
 	}
 
 	/**
-	 * Asks all daemons for a heartbeat, so that a change arrives before the next regular one. Changes are
-	 * rare (1,200 a day at target size); a lost notice only delays the change.
+	 * Asks the registrars to confirm the configuration now and, after a commit, to ask their daemons for
+	 * a heartbeat. Changes are rare (1,200 a day at target size); a lost notice only delays the change.
 	 */
-	#notifyDaemons(): void {
-		for (const daemonId of this.#confirmations.keys()) {
-			void this.#notify(daemonId);
+	#refreshRegistrars(input: {notifyDaemons: boolean}): void {
+		for (const {daemonId, state} of this.#context.settings.cluster.peers) {
+			if (state) {
+				void this.#refresh(daemonId, input);
+			}
 		}
 	}
 
-	async #notify(daemonId: DaemonId): Promise<void> {
+	async #refresh(
+		daemonId: DaemonId,
+		input: {notifyDaemons: boolean},
+	): Promise<void> {
 		try {
-			await this.#peers.call(
-				daemonId,
-				'config.notice',
-				{},
-				{
-					timeoutMs: 1000,
-					channel: 'control',
-				},
-			);
+			await this.#peers.call(daemonId, 'config.refresh', input, {
+				timeoutMs: 1000,
+				channel: 'control',
+			});
 		} catch (error) {
 			this.#context.retries.increment({
-				step: 'notice',
+				step: 'refresh',
 				reason: reasonOf(error),
 			});
 		}
@@ -299,7 +318,8 @@
 		for (;;) {
 			const nowMs = performance.now();
 			const propagation = evaluatePropagation({
-				daemons: [...this.#confirmations.values()],
+				daemons: [...this.#ledger.daemons.values()],
+				registrars: [...this.#ledger.registrars.values()],
 				revision,
 				leaseMs: this.#context.settings.timing.configurationLeaseMs,
 				committedAtMs,
@@ -329,7 +349,7 @@
 		const describe = (ids: DaemonId[], state: string) =>
 			ids.map((daemonId) => ({
 				daemonId,
-				revision: this.#confirmations.get(daemonId)?.appliedRevision ?? 0,
+				revision: this.#ledger.daemons.get(daemonId)?.appliedRevision ?? 0,
 				state,
 			}));
 		return [
@@ -353,6 +373,7 @@
 		await this.#replication.ensureLeader(configGroup);
 		this.#noteTerm();
 		const {peers} = this.#context.settings.cluster;
+		const loads = await readLoads(this.#peers, [...this.#table.mirrors.keys()]);
 		return {
 			leaderId: this.#context.settings.daemonId,
 			daemons: liveDaemons(this.#membership, performance.now()).map(
@@ -367,7 +388,7 @@
 					roles: peers.find((peer) => peer.daemonId === report.daemonId)?.state
 						? ['entry', 'state']
 						: ['entry'],
-					load: report.load ?? {},
+					load: loads.get(report.daemonId) ?? {},
 				}),
 			),
 		};
--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	ConfigurationView,
 	createLeaseState,
@@ -14,30 +15,32 @@
 	type Member,
 	type MembershipView,
 } from '@marjoramcove/membership';
+import {backoffDelay} from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
 import {z} from 'zod';
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
-import type {GroupClientService} from './group-client-service.ts';
 import type {PeersService} from './peers-service.ts';
 import type {HeartbeatAnswer} from './heartbeat-contract.ts';
-import {configGroup} from './replication-service.ts';
+import {RegistrarChoice} from './registrar-choice.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
 const longestTickMs = 500;
 const heartbeatsInFlight = 3;
+const backoff = {initialMs: 20, maximumMs: 500};
 
 type NoticeExchange = {
 	collect: () => UpstreamNotice[];
 	take: (notices: readonly UpstreamNotice[]) => void;
 };
 
-/** Copy of the configuration and of the members on this daemon, kept current by heartbeats. */
+/** Copy of the configuration and of the members on this daemon, kept current by heartbeats to a registrar. */
 export class ConfigurationService extends Service {
 	readonly view = new ConfigurationView();
 	/** Adds figures to the load summary of the heartbeat. */
 	readonly loadSources: Array<() => Record<string, number>> = [];
 	readonly #context: DaemonContext;
 	readonly #membership: MembershipView = createMembershipView();
+	readonly #registrars: RegistrarChoice;
 	readonly #changeListeners = new Set<() => void>();
 	#notices: NoticeExchange = {
 		collect: () => [],
@@ -46,7 +49,6 @@
 		},
 	};
 
-	#groups!: GroupClientService;
 	#peers!: PeersService;
 	#lease: LeaseState = createLeaseState();
 	#timers: NodeJS.Timeout[] = [];
@@ -56,6 +58,7 @@
 	constructor(context: DaemonContext) {
 		super();
 		this.#context = context;
+		this.#registrars = new RegistrarChoice(context.settings);
 	}
 
 	override get name() {
@@ -63,7 +66,6 @@
 	}
 
 	override async start(kernel: ServiceDirectory) {
-		this.#groups = kernel.get<GroupClientService>('group-client');
 		this.#peers = kernel.get<PeersService>('peers');
 		this.#peers.handle('config.notice', z.object({}), async () => {
 			this.heartbeat();
@@ -100,7 +102,7 @@
 		return isLeaseValid(this.#lease, performance.now(), Date.now());
 	}
 
-	/** Live daemons as the configuration leader last reported them. */
+	/** Live daemons as the configuration leader last reported them through the registrar. */
 	get members(): ReadonlyMap<DaemonId, Member> {
 		return this.#membership.members;
 	}
@@ -172,37 +174,10 @@
 	}
 
 	async #sendHeartbeat(sequence: number, appliedRevision: number) {
-		const {settings, incarnation, phase} = this.#context;
-		const {heartbeatMs, configurationLeaseMs} = settings.timing;
 		this.#inFlight++;
 		try {
-			const {epoch, version} = this.#membership;
-			const answer = await this.#groups.call<HeartbeatAnswer>(
-				configGroup,
-				'config.heartbeat',
-				{
-					sequence,
-					report: {
-						daemonId: settings.daemonId,
-						incarnation,
-						zone: settings.zone,
-						address: this.#httpAddress,
-						peerAddress: this.#peerAddress,
-						phase,
-						appliedRevision,
-						load: Object.assign(
-							{},
-							...this.loadSources.map((source) => source()),
-						) as Record<string, number>,
-					},
-					...(epoch !== '' && {known: {epoch, version}}),
-					notices: this.#notices.collect(),
-				},
-				{
-					timeoutMs: configurationLeaseMs,
-					attemptTimeoutMs: Math.max(heartbeatMs, 500),
-					channel: 'control',
-				},
+			const answer = await this.#askRegistrar(
+				this.#describeHeartbeat(sequence, appliedRevision),
 			);
 			this.#takeAnswer(sequence, answer);
 		} catch (error) {
@@ -215,6 +190,66 @@
 		}
 	}
 
+	#describeHeartbeat(sequence: number, appliedRevision: number) {
+		const {settings, incarnation, startedAtMs, phase} = this.#context;
+		const {epoch, version} = this.#membership;
+		return {
+			sequence,
+			report: {
+				daemonId: settings.daemonId,
+				incarnation,
+				startedAtMs,
+				zone: settings.zone,
+				address: this.#httpAddress,
+				peerAddress: this.#peerAddress,
+				phase,
+				appliedRevision,
+				load: Object.assign(
+					{},
+					...this.loadSources.map((source) => source()),
+				) as Record<string, number>,
+			},
+			...(epoch !== '' && {known: {epoch, version}}),
+			notices: this.#notices.collect(),
+		};
+	}
+
+	/**
+	 * Sends a heartbeat to the chosen registrar and, when it fails, to the next one. The lease counts
+	 * from the first attempt.
+	 */
+	async #askRegistrar(heartbeat: unknown): Promise<HeartbeatAnswer> {
+		const {heartbeatMs, configurationLeaseMs} = this.#context.settings.timing;
+		const deadlineMs = performance.now() + configurationLeaseMs / 2;
+		for (let attempt = 0; ; attempt++) {
+			const registrarId = this.#registrars.choose(
+				this.members,
+				performance.now(),
+			);
+			try {
+				return await this.#peers.call<HeartbeatAnswer>(
+					registrarId,
+					'config.heartbeat',
+					heartbeat,
+					{timeoutMs: Math.max(heartbeatMs, 500), channel: 'control'},
+				);
+			} catch (error) {
+				const delayMs = backoffDelay(attempt, backoff, Math.random());
+				const nowMs = performance.now();
+				this.#registrars.avoid(registrarId, nowMs + 5 * heartbeatMs);
+				if (nowMs + delayMs >= deadlineMs) {
+					throw error;
+				}
+
+				this.#context.retries.increment({
+					step: 'config.heartbeat',
+					reason: reasonOf(error),
+				});
+				await sleep(delayMs);
+			}
+		}
+	}
+
 	#takeAnswer(sequence: number, answer: HeartbeatAnswer): void {
 		try {
 			if (answer.update && this.view.applyUpdate(answer.update) === 'applied') {
--- a/packages/daemon/src/services/heartbeat-contract.ts
+++ b/packages/daemon/src/services/heartbeat-contract.ts
@@ -1,9 +1,10 @@
+import type {ConfigurationUpdate} from '@marjoramcove/configuration';
 import type {
-	changesSince,
-	configurationDigest,
-} from '@marjoramcove/configuration';
-import type {MemberReport, membersSince} from '@marjoramcove/membership';
-import type {UpstreamId} from '@marjoramcove/types';
+	MemberReport,
+	MembershipUpdate,
+	RosterSummary,
+} from '@marjoramcove/membership';
+import type {DaemonId, IncarnationId, UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
@@ -13,22 +14,59 @@
 	unhealthy: z.boolean(),
 });
 
-/** Heartbeat of a daemon to the configuration leader. */
+const knownSchema = z
+	.object({epoch: z.string(), version: z.number()})
+	.optional();
+
+const isObject = (value: unknown) =>
+	typeof value === 'object' && value !== null;
+
+/** Heartbeat of a daemon to its registrar. */
 export const heartbeatSchema = z.object({
 	sequence: z.int(),
-	report: z.custom<MemberReport>(
-		(value) => typeof value === 'object' && value !== null,
-	),
-	known: z.object({epoch: z.string(), version: z.number()}).optional(),
+	report: z.custom<MemberReport>((value) => isObject(value)),
+	known: knownSchema,
 	notices: z.array(noticeSchema).default([]),
 });
 
-/** Answer of the configuration leader to a heartbeat. */
+/** Answer of a registrar to a heartbeat. */
 export type HeartbeatAnswer = {
+	/** Counts from the time at which the daemon sent the heartbeat. */
 	leaseMs: number;
-	digest: ReturnType<typeof configurationDigest>;
-	update?: ReturnType<typeof changesSince>;
-	members: ReturnType<typeof membersSince>;
+	digest: ConfigurationUpdate['digest'];
+	update?: ConfigurationUpdate;
+	members: MembershipUpdate;
 	/** Upstreams in trouble, from all dispatchers; absent when there are none. */
 	notices?: UpstreamNotice[];
 };
+
+/** Request of a registrar that the leader confirm the configuration. */
+export const confirmSchema = z.object({
+	registrarId: z.string().transform((value) => value as DaemonId),
+	incarnation: z.string().transform((value) => value as IncarnationId),
+	/** Revision of the confirmation that the registrar uses when it sends this. */
+	confirmedRevision: z.int(),
+	summary: z.custom<RosterSummary>((value) => isObject(value)),
+	known: knownSchema,
+	/** Whether the leader is to begin its quorum round at once. */
+	isUrgent: z.boolean(),
+});
+
+export type ConfirmRequest = z.input<typeof confirmSchema>;
+
+/** Answer of the leader; without a confirmation the registrar has to send a full summary first. */
+export type ConfirmAnswer =
+	| {needsFullSummary: true}
+	| {
+			needsFullSummary: false;
+			/** Counts from the time at which the registrar sent the request. */
+			leaseMs: number;
+			digest: ConfigurationUpdate['digest'];
+			/** Absent while a new leader collects the members. */
+			members?: MembershipUpdate;
+			notices: UpstreamNotice[];
+	  };
+
+/** Silence after which a registrar counts a daemon as lost. */
+export const memberTimeoutOf = (heartbeatMs: number): number =>
+	Math.max(1500, 4 * heartbeatMs);
