Check the leases through registrars with a randomised model

Cause: the registrar leg of the lease chain had no proof. The model runs the same functions as the daemon: lost, doubled, delayed and reordered messages, frozen and suspended processes, partitions of a registrar in one direction or both, restarts, daemons that move and join, new leaders, clocks that are 1% slow. Seven deliberate faults turn the check red, among them a registrar that counts its confirmation from the answer.

--- /dev/null
+++ b/packages/configuration/src/registrar-lease-model.test.ts
@@ -0,0 +1,128 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	type RegistrarLeaseChoice,
+	type RegistrarLeaseFault,
+	RegistrarLeaseModel,
+} from '@marjoramcove/soak';
+
+const event = (weight: number, name: RegistrarLeaseChoice['event']) => ({
+	weight,
+	arbitrary: fc.constant(name),
+});
+
+const choices = fc.array(
+	fc.record<RegistrarLeaseChoice>({
+		event: fc.oneof(
+			event(600, 'none'),
+			event(20, 'commit'),
+			event(2, 'freeze'),
+			event(2, 'suspend'),
+			event(4, 'cut'),
+			event(6, 'heal'),
+			event(8, 'move'),
+			event(12, 'join'),
+			event(1, 'restart-registrar'),
+			event(1, 'new-leader'),
+		),
+		pick: fc.nat(99),
+		luck: fc.nat(99),
+	}),
+	{minLength: 1000, maxLength: 2000, size: 'max'},
+);
+
+const steps = (
+	event: RegistrarLeaseChoice['event'],
+	{
+		pick = 0,
+		luck = 1,
+		count = 1,
+	}: {pick?: number; luck?: number; count?: number},
+): RegistrarLeaseChoice[] =>
+	Array.from({length: count}, () => ({event, pick, luck}));
+
+const runs = {seed: 20_261_204, numRuns: 120, endOnFailure: true};
+
+describe('configuration leases through registrars', () => {
+	it('end within one lease of a change (failure: a daemon takes work with an old configuration, I5)', () => {
+		fc.assert(
+			fc.property(choices, (sequence) => {
+				expect(new RegistrarLeaseModel().run(sequence)).toEqual([]);
+			}),
+			runs,
+		);
+	});
+
+	it.each<[RegistrarLeaseFault, string]>([
+		['confirmed-from-answer', 'works with an old revision after one lease'],
+		[
+			'full-lease-from-old-confirmation',
+			'works with an old revision after one lease',
+		],
+		['no-wall-clock', 'works with an old revision after one lease'],
+		['confirm-without-round', 'works with an old revision after one lease'],
+	])(
+		'detects the fault %s (failure: the check above cannot fail)',
+		(fault, symptom) => {
+			const found = fc.check(
+				fc.property(
+					choices,
+					(sequence) =>
+						!new RegistrarLeaseModel(fault).run(sequence).includes(symptom),
+				),
+				runs,
+			);
+			expect(String(found.errorInstance)).toContain('returning false');
+		},
+	);
+
+	it('detects a lease without the allowance for drift (failure: two slow clocks stretch the lease)', () => {
+		// The change commits right after a confirmation was used; then all messages are lost.
+		const problems = Array.from({length: 40}, (_, wait) => {
+			const sequence = [
+				...steps('none', {count: 60 + wait}),
+				...steps('commit', {luck: 95}),
+				...steps('none', {luck: 95, count: 850}),
+			];
+			expect(new RegistrarLeaseModel().run(sequence)).toEqual([]);
+			return new RegistrarLeaseModel('no-drift-allowance').run(sequence);
+		});
+		expect(problems.flat()).toContain(
+			'works with an old revision after one lease',
+		);
+	});
+
+	it('detects a leader that ignores registrars (failure: a daemon that joined behind a partition is overlooked)', () => {
+		const sequence = [
+			...steps('none', {count: 900}),
+			// All daemons use the second registrar; a new one joins the first, which the leader cannot hear.
+			...[0, 1, 2].flatMap((pick) => steps('move', {pick})),
+			...steps('none', {count: 20}),
+			...steps('cut', {luck: 3}),
+			...steps('join', {luck: 2}),
+			...steps('none', {count: 15}),
+			...steps('commit', {}),
+			...steps('none', {count: 200}),
+		];
+		expect(new RegistrarLeaseModel().run(sequence)).toEqual([]);
+		expect(new RegistrarLeaseModel('ignore-registrars').run(sequence)).toEqual([
+			'reported in force too early',
+		]);
+	});
+
+	it('detects a registrar that grants a lease before it names the daemon (failure: the leader overlooks a daemon)', () => {
+		const sequence = [
+			...steps('none', {count: 900}),
+			...steps('join', {luck: 2}),
+			...steps('none', {count: 5}),
+			// The new daemon stands still for almost a second, in which the others confirm the change.
+			...steps('freeze', {pick: 5, luck: 33}),
+			...steps('commit', {}),
+			...steps('none', {count: 200}),
+		];
+		expect(new RegistrarLeaseModel().run(sequence)).toEqual([]);
+		expect(
+			new RegistrarLeaseModel('grant-before-registering').run(sequence),
+		).toEqual(['reported in force too early']);
+	});
+});
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -287,7 +287,9 @@
 		}, summaryDelayMs);
 	}
 
-	async #confirmNow({isUrgent} = {isUrgent: true}): Promise<void> {
+	async #confirmNow({
+		isUrgent = true,
+	}: {isUrgent?: boolean} = {}): Promise<void> {
 		this.#isUrgent ||= isUrgent;
 		try {
 			await this.#gate.next({isUrgent});
--- /dev/null
+++ b/packages/soak/src/models/registrar-lease-model.ts
@@ -0,0 +1,289 @@
+import {
+	type ConfirmationLedger,
+	createConfirmationLedger,
+	evaluatePropagation,
+	isLeaseValid,
+	noteConfirmation,
+} from '@marjoramcove/configuration';
+import {
+	createMembershipState,
+	createRegistrarTable,
+	takeSummary,
+} from '@marjoramcove/membership';
+import {
+	type ConfirmMessage,
+	type ModelWorld,
+	ModelDaemon,
+	ModelRegistrar,
+	REGISTRAR_LEASE_MS,
+	type RegistrarLeaseFault,
+} from './registrar-lease-parts.ts';
+
+/** One step of 10 ms; `pick` selects a process, `luck` from 0 to 99 a delay or a loss. */
+export type RegistrarLeaseChoice = {
+	event:
+		| 'none'
+		| 'commit'
+		| 'freeze'
+		| 'suspend'
+		| 'cut'
+		| 'heal'
+		| 'move'
+		| 'join'
+		| 'restart-registrar'
+		| 'new-leader';
+	pick: number;
+	luck: number;
+};
+
+const STEP_MS = 10;
+const MAX_DAEMONS = 6;
+
+/** A leader: what it knows since its term began. */
+class ModelLeader {
+	readonly ledger: ConfirmationLedger = createConfirmationLedger();
+	readonly table = createRegistrarTable();
+	readonly membership;
+	readonly sinceMs: number;
+
+	constructor(nowMs: number) {
+		this.sinceMs = nowMs;
+		this.membership = createMembershipState({epoch: `${nowMs}`, nowMs});
+	}
+}
+
+/**
+ * Daemons that get their leases from registrars, which confirm them with a leader. The monotonic
+ * clocks are up to 1% slow; messages are lost, doubled, delayed and reordered; processes freeze, VMs
+ * are suspended, registrars restart or are cut off in one direction or both, and leaders change.
+ */
+export class RegistrarLeaseModel implements ModelWorld {
+	readonly problems = new Set<string>();
+	readonly fault: RegistrarLeaseFault | undefined;
+	readonly daemons: ModelDaemon[];
+	readonly registrars: ModelRegistrar[];
+	realMs = 100_000;
+	revision = 1;
+	luck = 0;
+	/** Real time at which each revision was committed. */
+	readonly #committedAtMs = [0, 0];
+	#leader = new ModelLeader(this.realMs);
+	/** Revision at which the leader before this one stopped; it would never learn of a later one. */
+	#deposedRevision = 1;
+	#messages: Array<{
+		atMs: number;
+		to?: {frozenUntilMs: number};
+		run: () => void;
+	}> = [];
+
+	constructor(fault?: RegistrarLeaseFault) {
+		this.fault = fault;
+		this.registrars = [0, 1].map(
+			(index) => new ModelRegistrar(this, `r${index}`, index === 0 ? 0.99 : 1),
+		);
+		this.daemons = [0, 1, 2].map(
+			(index) =>
+				new ModelDaemon(this, `d${index}`, index === 1 ? 1 : 0.99, index * 20),
+		);
+	}
+
+	/** Runs the choices and returns what went wrong. */
+	run(choices: RegistrarLeaseChoice[]): string[] {
+		for (const choice of choices) {
+			this.realMs += STEP_MS;
+			this.luck = choice.luck;
+			this.#act(choice);
+			for (const process of [...this.daemons, ...this.registrars]) {
+				process.advance(STEP_MS);
+			}
+
+			this.#deliver();
+			this.#check();
+		}
+
+		return [...this.problems];
+	}
+
+	/** Some messages are lost, some arrive twice; the delay is up to 0.2 s. */
+	send(to: {frozenUntilMs: number} | undefined, run: () => void): void {
+		const {luck, realMs} = this;
+		if (luck >= 90) {
+			return;
+		}
+
+		this.#messages.push({atMs: realMs + luck * 2, to, run});
+		if (luck % 10 === 0) {
+			this.#messages.push({atMs: realMs + 350 - luck * 3, to, run});
+		}
+	}
+
+	/** The leader answers after a quorum round; a leader that was replaced cannot answer. */
+	confirm(message: ConfirmMessage): void {
+		if (this.fault === 'confirm-without-round' && message.isLate) {
+			message.answer({revision: this.#deposedRevision, hash: ''});
+			return;
+		}
+
+		const leader = this.#leader;
+		this.send(undefined, () => {
+			if (leader !== this.#leader) {
+				return;
+			}
+
+			const isKnown = takeSummary(
+				leader.table,
+				leader.membership,
+				message,
+				this.realMs,
+			);
+			if (isKnown) {
+				this.#note(leader, message);
+			}
+
+			message.answer(isKnown ? {revision: this.revision, hash: ''} : undefined);
+		});
+	}
+
+	#note(leader: ModelLeader, message: ConfirmMessage): void {
+		const {registrarId, incarnation, confirmedRevision, summary} = message;
+		const {members} = leader.table.mirrors.get(registrarId)!;
+		noteConfirmation(
+			leader.ledger,
+			{
+				key: `${registrarId} ${incarnation}`,
+				confirmedRevision,
+				held: [...members.values()]
+					.map(({report}) => report)
+					.filter(
+						({daemonId}) => leader.table.holders.get(daemonId) === registrarId,
+					),
+				removed: summary.removed,
+			},
+			this.realMs,
+		);
+	}
+
+	#act({event, pick, luck}: RegistrarLeaseChoice): void {
+		const processes = [...this.registrars, ...this.daemons];
+		const process = processes[pick % processes.length]!;
+		const registrar = this.registrars[pick % this.registrars.length]!;
+		switch (event) {
+			case 'none': {
+				break;
+			}
+
+			case 'commit': {
+				this.revision++;
+				this.#committedAtMs.push(this.realMs);
+				break;
+			}
+
+			case 'freeze': {
+				process.frozenUntilMs = this.realMs + luck * 30;
+				break;
+			}
+
+			case 'suspend': {
+				process.frozenUntilMs = this.realMs + luck * 30;
+				process.isSuspended = true;
+				break;
+			}
+
+			case 'cut': {
+				registrar.isCutFrom = luck % 3 !== 0;
+				registrar.isCutTo = luck % 3 !== 1;
+				registrar.isAlone = luck % 2 === 0;
+				break;
+			}
+
+			case 'heal': {
+				registrar.isCutFrom = false;
+				registrar.isCutTo = false;
+				break;
+			}
+
+			case 'move': {
+				this.daemons[pick % this.daemons.length]!.registrar = luck % 2;
+				break;
+			}
+
+			case 'join': {
+				// A daemon that the leader does not know.
+				if (this.daemons.length < MAX_DAEMONS) {
+					const name = `d${this.daemons.length}`;
+					const daemon = new ModelDaemon(this, name, 0.99, 0);
+					daemon.registrar = luck % 2;
+					this.daemons.push(daemon);
+				}
+
+				break;
+			}
+
+			case 'restart-registrar': {
+				registrar.restart();
+				break;
+			}
+
+			case 'new-leader': {
+				this.#deposedRevision = this.revision;
+				this.#leader = new ModelLeader(this.realMs);
+				break;
+			}
+		}
+	}
+
+	#deliver(): void {
+		const isDue = ({atMs, to}: {atMs: number; to?: {frozenUntilMs: number}}) =>
+			atMs <= this.realMs && (to?.frozenUntilMs ?? 0) <= this.realMs;
+		const due = this.#messages.filter((message) => isDue(message));
+		this.#messages = this.#messages.filter((message) => !isDue(message));
+		for (const message of due) {
+			message.run();
+		}
+	}
+
+	/** No daemon works with an old revision after one lease, or when the leader says `in force`. */
+	#check(): void {
+		for (const daemon of this.daemons) {
+			const missing = daemon.lease.appliedRevision + 1;
+			const committedAtMs = this.#committedAtMs[missing];
+			const {nowMs, wallMs} = daemon.time;
+			if (
+				committedAtMs !== undefined &&
+				daemon.frozenUntilMs <= this.realMs &&
+				isLeaseValid(daemon.lease, nowMs, wallMs)
+			) {
+				this.#report(
+					this.realMs > committedAtMs + REGISTRAR_LEASE_MS,
+					'works with an old revision after one lease',
+				);
+				this.#report(
+					this.#isInForce(missing, committedAtMs),
+					'reported in force too early',
+				);
+			}
+		}
+	}
+
+	#isInForce(revision: number, committedAtMs: number): boolean {
+		const {ledger, sinceMs} = this.#leader;
+		return evaluatePropagation({
+			daemons: [...ledger.daemons.values()],
+			registrars:
+				this.fault === 'ignore-registrars'
+					? []
+					: [...ledger.registrars.values()],
+			revision,
+			leaseMs: REGISTRAR_LEASE_MS,
+			committedAtMs: Math.max(committedAtMs, sinceMs),
+			leaderSinceMs: sinceMs,
+			nowMs: this.realMs,
+		}).isInForce;
+	}
+
+	#report(isProblem: boolean, problem: string): void {
+		if (isProblem) {
+			this.problems.add(problem);
+		}
+	}
+}
