--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -1,70 +1,75 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	type ChangeCommand,
 	changesSince,
 	configurationDigest,
-	type ConfigurationResult,
-	type DaemonConfirmation,
-	evaluatePropagation,
-	listResources,
-	type Propagation,
-	type ResourceKind,
+	createRegistrarLease,
+	grantLease,
+	readElapsedMs,
+	takeConfirmation,
 } from '@marjoramcove/configuration';
-import {
-	MarjoramcoveError,
-	NotLeaderError,
-	RevisionConflictError,
-	ValidationError,
-} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {
-	createMembershipState,
-	liveDaemons,
-	membersSince,
-	type MembershipState,
-	stepMembership,
+	createMemberRelay,
+	createRoster,
+	expireRoster,
+	registerMember,
+	relaySince,
+	summariseRoster,
+	updateRelay,
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
 import {z} from 'zod';
-import {type DaemonContext, reasonOf} from '../daemon-context.ts';
+import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
+import type {GroupClientService} from './group-client-service.ts';
+import {
+	type ConfirmAnswer,
+	type ConfirmRequest,
+	type HeartbeatAnswer,
+	heartbeatSchema,
+	memberTimeoutOf,
+} from './heartbeat-contract.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
-import {type HeartbeatAnswer, heartbeatSchema} from './heartbeat-contract.ts';
+import {RoundGate} from './round-gate.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
-const propagationPollMs = 25;
-
-/** Outcome of a change for the operator. */
-export type ChangeOutcome = {
-	revision: number;
-	hash: string;
-	repeated: boolean;
-	inForce: boolean;
-	daemons: Array<{daemonId: DaemonId; revision: number; state: string}>;
-};
+/** Changes of members within this time travel in one summary. */
+const summaryDelayMs = 10;
+const replicaPollMs = 5;
+/** A part of the lease; an older confirmation is renewed before it is used. */
+const confirmationsPerLease = 8;
+/** A heartbeat does not wait for the renewal of a confirmation that still allows this much less lease. */
+const oldestUsedShare = 0.25;
 
-/** The configuration leader: answers heartbeats, grants leases and takes changes. */
+/** A daemon with state: takes the heartbeats of a part of the daemons and grants leases to them. */
 export class RegistrarService extends Service {
 	readonly #context: DaemonContext;
-	readonly #confirmations = new Map<DaemonId, DaemonConfirmation>();
-	/** Upstreams in trouble by their dispatcher. */
-	readonly #notices = new Map<
-		DaemonId,
-		{notices: UpstreamNotice[]; atMs: number}
-	>();
-
+	readonly #roster = createRoster();
+	readonly #relay = createMemberRelay();
+	readonly #lease = createRegistrarLease();
+	readonly #gate: RoundGate;
+	readonly #intervalMs: number;
+	#notices: UpstreamNotice[] = [];
+	/** Version of the roster that the leader has confirmed. */
+	#summarisedVersion: number | undefined;
+	/** Confirmations requested before this time are not used any more. */
+	#staleBeforeMs = Number.NEGATIVE_INFINITY;
+	#isUrgent = false;
 	#replication!: ReplicationService;
 	#peers!: PeersService;
-	#membership!: MembershipState;
-	#term = -1;
-	#leaderSinceMs = 0;
-	#round: {startedAtMs: number; done: Promise<void>} | undefined;
-	#nextRound: Promise<void> | undefined;
+	#groups!: GroupClientService;
 	#timer: NodeJS.Timeout | undefined;
+	#summaryTimer: NodeJS.Timeout | undefined;
 
 	constructor(context: DaemonContext) {
 		super();
 		this.#context = context;
+		const {heartbeatMs, configurationLeaseMs} = context.settings.timing;
+		this.#intervalMs = Math.min(
+			heartbeatMs,
+			configurationLeaseMs / confirmationsPerLease,
+		);
+		this.#gate = new RoundGate(async () => this.#confirm(), this.#intervalMs);
 	}
 
 	override get name() {
@@ -73,201 +78,237 @@
 
 	override async start(kernel: ServiceDirectory) {
 		this.#replication = kernel.get<ReplicationService>('replication');
-		this.#resetMembership();
-		const peers = kernel.get<PeersService>('peers');
-		this.#peers = peers;
-		peers.handle('config.heartbeat', heartbeatSchema, async (input) =>
+		this.#groups = kernel.get<GroupClientService>('group-client');
+		this.#peers = kernel.get<PeersService>('peers');
+		if (!this.#replication.hasDisk) {
+			return;
+		}
+
+		this.#peers.handle('config.heartbeat', heartbeatSchema, async (input) =>
 			this.#takeHeartbeat(input),
 		);
-		peers.handle(
-			'config.change',
-			z.object({
-				command: z.custom<ChangeCommand>(),
-				waitMs: z.number(),
-			}),
-			async ({command, waitMs}) => this.#change(command, waitMs),
-		);
-		peers.handle(
-			'config.resources',
-			z.object({kind: z.string().optional()}),
-			async ({kind}) => this.#readResources(kind as ResourceKind | undefined),
-		);
-		peers.handle('config.members', z.object({}), async () =>
-			this.#describeMembers(),
+		this.#peers.handle(
+			'config.refresh',
+			z.object({notifyDaemons: z.boolean()}),
+			async ({notifyDaemons}) => {
+				this.#refresh(notifyDaemons);
+				return {};
+			},
 		);
+		this.#peers.handle('config.reports', z.object({}), async () => ({
+			reports: [...this.#roster.members.values()].map(
+				({report, lastSequence}) => ({report, sequence: lastSequence}),
+			),
+		}));
 		this.#timer = setInterval(() => {
-			this.#membership = stepMembership(
-				this.#membership,
-				{type: 'tick'},
-				performance.now(),
-			).state;
+			this.#tick();
 		}, this.#context.settings.timing.heartbeatMs);
 	}
 
 	override async stop() {
 		clearInterval(this.#timer);
+		clearTimeout(this.#summaryTimer);
+		this.#gate.stop();
 	}
 
-	/** Starts with empty soft state when this replica begins to lead. */
-	#noteTerm(): void {
-		const {term} = this.#replication.leadership(configGroup);
-		if (term !== this.#term) {
-			this.#term = term;
-			this.#leaderSinceMs = performance.now();
-			this.#confirmations.clear();
-			this.#resetMembership();
-		}
-	}
-
-	#resetMembership(): void {
-		const {heartbeatMs} = this.#context.settings.timing;
-		this.#membership = createMembershipState({
-			epoch: `${this.#term}-${this.#context.incarnation}`,
+	get #elapsedMs(): number {
+		return readElapsedMs(this.#lease, {
 			nowMs: performance.now(),
-			settings: {memberTimeoutMs: Math.max(1500, 4 * heartbeatMs)},
+			wallMs: Date.now(),
 		});
 	}
 
+	#tick(): void {
+		const {heartbeatMs, configurationLeaseMs} = this.#context.settings.timing;
+		const isChanged = expireRoster(
+			this.#roster,
+			{
+				memberTimeoutMs: memberTimeoutOf(heartbeatMs),
+				keepRemovedMs: 2 * configurationLeaseMs,
+			},
+			this.#elapsedMs,
+		);
+		if (isChanged) {
+			this.#summariseSoon();
+		}
+	}
+
 	async #takeHeartbeat({
 		sequence,
 		report,
 		known,
 		notices,
 	}: z.output<typeof heartbeatSchema>): Promise<HeartbeatAnswer> {
-		await this.#replication.ensureLeader(configGroup);
-		this.#noteTerm();
-		const term = this.#term;
-		await this.#confirmLeadership();
-		if (this.#replication.leadership(configGroup).term !== term) {
-			throw new NotLeaderError(configGroup);
+		const {daemonId} = this.#context.settings;
+		if (this.#context.phase === 'draining' && report.daemonId !== daemonId) {
+			throw refusal(
+				'registrar-leaving',
+				'This registrar is leaving.',
+				'Send the heartbeat to another registrar.',
+			);
 		}
 
-		const nowMs = performance.now();
-		this.#membership = stepMembership(
-			this.#membership,
-			{type: 'heartbeat', sequence, report},
-			nowMs,
-		).state;
-		this.#noteUpstreams(report.daemonId, notices);
-		const {state} = this.#replication.configuration;
-		const digest = configurationDigest(state);
-		this.#confirmations.set(report.daemonId, {
-			daemonId: report.daemonId,
-			appliedRevision: report.appliedRevision,
-			leaseGrantedAtMs: nowMs,
-		});
-		return {
-			leaseMs: this.#context.settings.timing.configurationLeaseMs,
-			digest,
-			...(report.appliedRevision < digest.revision && {
-				update: changesSince(state, report.appliedRevision),
-			}),
-			members: membersSince(this.#membership, known),
-			...this.#currentNotices(),
-		};
-	}
-
-	#noteUpstreams(daemonId: DaemonId, notices: UpstreamNotice[]): void {
-		if (notices.length === 0) {
-			this.#notices.delete(daemonId);
-		} else {
-			this.#notices.set(daemonId, {notices, atMs: performance.now()});
+		const receivedAtMs = this.#elapsedMs;
+		// The daemon must be in the roster before it gets a lease: the summary that acknowledges a
+		// revision has to name all daemons with older leases.
+		if (
+			registerMember(this.#roster, {sequence, report, notices}, receivedAtMs)
+		) {
+			this.#summariseSoon();
 		}
-	}
 
-	/** Notices of dispatchers that still send heartbeats. */
-	#currentNotices(): {notices?: UpstreamNotice[]} {
-		if (this.#notices.size === 0) {
-			return {};
+		await this.#ensureFresh(receivedAtMs);
+		const grant = grantLease(this.#lease, receivedAtMs);
+		const {state} = this.#replication.configuration;
+		if (!grant || state.revision < grant.digest.revision) {
+			throw refusal(
+				'registrar-behind',
+				'This registrar has not confirmed its copy of the configuration.',
+				'Send the heartbeat to another registrar.',
+			);
 		}
 
-		const oldestMs =
-			performance.now() - this.#membership.settings.memberTimeoutMs;
 		return {
-			notices: [...this.#notices.values()]
-				.filter(({atMs}) => atMs >= oldestMs)
-				.flatMap(({notices}) => notices),
+			leaseMs: grant.leaseMs,
+			digest: configurationDigest(state),
+			...(report.appliedRevision < state.revision && {
+				update: changesSince(state, report.appliedRevision),
+			}),
+			members: relaySince(this.#relay, known),
+			...(this.#notices.length > 0 && {notices: this.#notices}),
 		};
 	}
 
 	/**
-	 * Waits for a quorum round that began after this call. Heartbeats that arrive during a round share
-	 * the next one, so the number of rounds does not grow with the number of daemons.
+	 * Renews an old confirmation and waits for it when the one in use is too old for a long lease or
+	 * from before a change. Then waits until the replica has its revision.
 	 */
-	async #confirmLeadership(): Promise<void> {
-		if (!this.#round) {
-			return this.#startRound();
+	async #ensureFresh(receivedAtMs: number): Promise<void> {
+		const {configurationLeaseMs} = this.#context.settings.timing;
+		const sentAtMs =
+			this.#lease.confirmation?.sentAtMs ?? Number.NEGATIVE_INFINITY;
+		const ageMs = receivedAtMs - sentAtMs;
+		if (
+			ageMs > configurationLeaseMs * oldestUsedShare ||
+			sentAtMs < this.#staleBeforeMs
+		) {
+			this.#isUrgent = true;
+			await this.#gate.next({isUrgent: true});
+		} else if (ageMs > this.#intervalMs) {
+			void this.#confirmNow({isUrgent: false});
 		}
 
-		this.#nextRound ??= (async () => {
-			try {
-				await this.#round?.done;
-			} catch {
-				// The next round decides for itself.
-			}
+		const deadlineMs = performance.now() + this.#attemptTimeoutMs;
+		while (
+			this.#replication.configuration.state.revision <
+				(this.#lease.confirmation?.digest.revision ?? 0) &&
+			performance.now() < deadlineMs
+		) {
+			await sleep(replicaPollMs);
+		}
+	}
 
-			this.#nextRound = undefined;
-			await this.#startRound();
-		})();
-		return this.#nextRound;
+	get #attemptTimeoutMs(): number {
+		return Math.max(this.#context.settings.timing.heartbeatMs, 500);
 	}
 
-	async #startRound(): Promise<void> {
-		const done = this.#replication.readBarrier(configGroup);
-		const round = {startedAtMs: performance.now(), done};
-		this.#round = round;
-		try {
-			await done;
-		} finally {
-			if (this.#round === round) {
-				this.#round = undefined;
+	/** Asks the leader to confirm the configuration, with the changes of the members since the last time. */
+	async #confirm(): Promise<void> {
+		const isUrgent = this.#isUrgent;
+		this.#isUrgent = false;
+		for (;;) {
+			const sentAtMs = this.#elapsedMs;
+			const {version} = this.#roster;
+			const isFull = this.#summarisedVersion === undefined;
+			const answer = await this.#askLeader(isUrgent);
+			if (!answer.needsFullSummary) {
+				this.#summarisedVersion = version;
+				this.#takeAnswer(sentAtMs, answer);
+				return;
+			}
+
+			this.#summarisedVersion = undefined;
+			if (isFull) {
+				throw refusal(
+					'registrar-behind',
+					'The leader did not accept the summary of this registrar.',
+					'Retry with the next heartbeat.',
+				);
 			}
 		}
 	}
 
-	async #change(
-		command: ChangeCommand,
-		waitMs: number,
-	): Promise<ChangeOutcome> {
-		await this.#replication.ensureLeader(configGroup);
-		this.#noteTerm();
-		const result = await this.#replication.propose<ConfigurationResult>(
+	async #askLeader(isUrgent: boolean): Promise<ConfirmAnswer> {
+		const {epoch, version} = this.#relay.view;
+		const request: ConfirmRequest = {
+			registrarId: this.#context.settings.daemonId,
+			incarnation: this.#context.incarnation,
+			confirmedRevision: this.#lease.confirmation?.digest.revision ?? -1,
+			summary: summariseRoster(this.#roster, this.#summarisedVersion),
+			...(epoch !== '' && {known: {epoch, version}}),
+			isUrgent,
+		};
+		return this.#groups.call<ConfirmAnswer>(
 			configGroup,
-			{...command, type: 'change'},
+			'config.confirm',
+			request,
+			{
+				timeoutMs: 2 * this.#attemptTimeoutMs,
+				attemptTimeoutMs: this.#attemptTimeoutMs,
+				channel: 'control',
+			},
 		);
-		if (result.outcome === 'conflict') {
-			throw new RevisionConflictError(
-				command.baseRevision,
-				result.currentRevision,
-				result.current,
-			);
+	}
+
+	#takeAnswer(
+		sentAtMs: number,
+		answer: Extract<ConfirmAnswer, {needsFullSummary: false}>,
+	): void {
+		const {leaseMs, digest, members, notices} = answer;
+		try {
+			takeConfirmation(this.#lease, {sentAtMs, leaseMs, digest});
+		} catch (error) {
+			// Two hashes for one revision: the state of this daemon or of the leader is wrong.
+			this.#context.fail(error);
+			throw error;
 		}
 
-		if (result.outcome !== 'applied') {
-			throw new ValidationError(
-				result.outcome === 'invalid' ? result.message : 'Unexpected result.',
-				'Correct the resources and send the change with a new operation id.',
-			);
+		this.#notices = notices;
+		if (members && !updateRelay(this.#relay, members)) {
+			this.#relay.view.epoch = '';
 		}
+	}
 
-		this.#notifyDaemons();
-		const propagation = await this.#waitUntilInForce(result.revision, waitMs);
-		return {
-			revision: result.revision,
-			hash: result.hash,
-			repeated: result.repeated,
-			inForce: propagation.isInForce,
-			daemons: this.#describePropagation(propagation),
-		};
+	/** Reports changes of the members to the leader shortly, without waiting for a heartbeat. */
+	#summariseSoon(): void {
+		this.#summaryTimer ??= setTimeout(() => {
+			this.#summaryTimer = undefined;
+			void this.#confirmNow();
+		}, summaryDelayMs);
 	}
 
-	/**
-	 * Asks all daemons for a heartbeat, so that a change arrives before the next regular one. Changes are
-	 * rare (1,200 a day at target size); a lost notice only delays the change.
-	 */
-	#notifyDaemons(): void {
-		for (const daemonId of this.#confirmations.keys()) {
-			void this.#notify(daemonId);
+	async #confirmNow({
+		isUrgent = true,
+	}: {isUrgent?: boolean} = {}): Promise<void> {
+		this.#isUrgent ||= isUrgent;
+		try {
+			await this.#gate.next({isUrgent});
+		} catch (error) {
+			this.#context.retries.increment({
+				step: 'confirm',
+				reason: reasonOf(error),
+			});
+		}
+	}
+
+	/** Renews the confirmation, because the configuration or the members changed. */
+	#refresh(notifyDaemons: boolean): void {
+		this.#staleBeforeMs = this.#elapsedMs;
+		void this.#confirmNow();
+		if (notifyDaemons) {
+			for (const daemonId of this.#roster.members.keys()) {
+				void this.#notify(daemonId);
+			}
 		}
 	}
 
@@ -277,10 +318,7 @@
 				daemonId,
 				'config.notice',
 				{},
-				{
-					timeoutMs: 1000,
-					channel: 'control',
-				},
+				{timeoutMs: 1000, channel: 'control'},
 			);
 		} catch (error) {
 			this.#context.retries.increment({
@@ -289,87 +327,4 @@
 			});
 		}
 	}
-
-	async #waitUntilInForce(
-		revision: number,
-		waitMs: number,
-	): Promise<Propagation> {
-		const committedAtMs = performance.now();
-		const term = this.#term;
-		for (;;) {
-			const nowMs = performance.now();
-			const propagation = evaluatePropagation({
-				daemons: [...this.#confirmations.values()],
-				revision,
-				leaseMs: this.#context.settings.timing.configurationLeaseMs,
-				committedAtMs,
-				leaderSinceMs: this.#leaderSinceMs,
-				nowMs,
-			});
-			if (propagation.isInForce || nowMs - committedAtMs >= waitMs) {
-				return propagation;
-			}
-
-			await sleep(propagationPollMs);
-			if (this.#replication.leadership(configGroup).term !== term) {
-				throw new MarjoramcoveError(
-					`The change is committed as revision ${revision}, but the leader changed before it was in force.`,
-					{
-						reason: 'commit-unknown',
-						verdict: 'ran',
-						hint: 'Send the change again with the same operation id to wait for it.',
-						data: {revision},
-					},
-				);
-			}
-		}
-	}
-
-	#describePropagation(propagation: Propagation): ChangeOutcome['daemons'] {
-		const describe = (ids: DaemonId[], state: string) =>
-			ids.map((daemonId) => ({
-				daemonId,
-				revision: this.#confirmations.get(daemonId)?.appliedRevision ?? 0,
-				state,
-			}));
-		return [
-			...describe(propagation.confirmed, 'confirmed'),
-			...describe(propagation.expired, 'expired'),
-			...describe(propagation.pending, 'pending'),
-		];
-	}
-
-	async #readResources(kind?: ResourceKind) {
-		await this.#replication.ensureLeader(configGroup);
-		await this.#replication.readBarrier(configGroup);
-		const {state} = this.#replication.configuration;
-		return {
-			...configurationDigest(state),
-			resources: listResources(state, kind),
-		};
-	}
-
-	async #describeMembers() {
-		await this.#replication.ensureLeader(configGroup);
-		this.#noteTerm();
-		const {peers} = this.#context.settings.cluster;
-		return {
-			leaderId: this.#context.settings.daemonId,
-			daemons: liveDaemons(this.#membership, performance.now()).map(
-				(report) => ({
-					daemonId: report.daemonId,
-					incarnation: report.incarnation,
-					zone: report.zone,
-					httpAddress: report.address,
-					peerAddress: report.peerAddress,
-					phase: report.phase,
-					revision: report.appliedRevision,
-					roles: peers.find((peer) => peer.daemonId === report.daemonId)?.state
-						? ['entry', 'state']
-						: ['entry'],
-					load: report.load ?? {},
-				}),
-			),
-		};
-	}
 }
