--- a/packages/daemon/src/owner/caller-programs.ts
+++ b/packages/daemon/src/owner/caller-programs.ts
@@ -63,9 +63,10 @@
 			this.#count(shard, callerId, -count);
 		}
 
-		for (const {callerId, endedReason} of programs.values()) {
-			if (endedReason === undefined) {
-				this.#count(shard, callerId, 1);
+		for (const programId of programs.keys()) {
+			const program = programs.get(programId)!;
+			if (program.endedReason === undefined) {
+				this.#count(shard, program.callerId, 1);
 			}
 		}
 	}
