Add the command record-hold to the programs machine

A hold was recorded only with a call, for the engine of the call. The new hold is newer than all others and older than that of the next call, so the newest hold still tells where the cached prefix is. It is refused while a call is open and after the end of the program, and is released like any other hold.

--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -105,6 +105,16 @@
 			reason: string;
 	  }
 	| {type: 'expire-programs'; nowMs: number}
+	| {
+			/**
+			 * Something other than the engine of a call may hold memory for the program from now on, for
+			 * example an exported copy. It is released like the hold of an engine.
+			 */
+			type: 'record-hold';
+			nowMs: number;
+			programId: ProgramId;
+			upstreamId: UpstreamId;
+	  }
 	| {
 			/** An engine confirmed that it holds no memory for the program any more. */
 			type: 'record-release';
--- a/packages/programs/src/step-programs.test.ts
+++ b/packages/programs/src/step-programs.test.ts
@@ -1,9 +1,15 @@
-import {asId, type ProgramId, type RequestId} from '@marjoramcove/types';
+import {
+	asId,
+	type ProgramId,
+	type RequestId,
+	type UpstreamId,
+} from '@marjoramcove/types';
 import {describe, expect, it} from 'vitest';
 import {
 	createProgramsState,
 	describeProgram,
 	pendingReleases,
+	type ProgramCommand,
 	stepPrograms,
 } from './index.ts';
 import {acceptCommand, openCommand, settleCommand} from './commands.fixture.ts';
@@ -33,6 +39,64 @@
 		});
 	});
 
+	describe('record-hold', () => {
+		const hold = {
+			type: 'record-hold',
+			nowMs: 1000,
+			programId,
+			upstreamId: asId<UpstreamId>('copy-1'),
+		} as const;
+		const steps = (...commands: ProgramCommand[]) => {
+			const state = createProgramsState(0);
+			let outcome = '';
+			for (const command of commands) {
+				outcome = stepPrograms(state, command).result.outcome;
+			}
+
+			return {state, outcome};
+		};
+
+		it('is released after the end and older than the next call (failure: a copy without a release)', () => {
+			const {state, outcome} = steps(
+				openCommand({}),
+				acceptCommand({}),
+				settleCommand({}),
+				hold,
+				hold,
+			);
+			expect(outcome).toBe('done');
+			const newest = () =>
+				describeProgram(state, programId)!.holds.toSorted(
+					(a, b) => b.heldTurn - a.heldTurn,
+				)[0]!.upstreamId;
+			expect(newest()).toBe('copy-1');
+			stepPrograms(state, acceptCommand({requestId: asId<RequestId>('r2')}));
+			expect(newest()).not.toBe('copy-1');
+			stepPrograms(state, {
+				type: 'end-program',
+				nowMs: 2000,
+				programId,
+				reason: 'ended',
+			});
+			expect(
+				pendingReleases(state).map(({upstreamId}) => upstreamId),
+			).toContain('copy-1');
+		});
+
+		it('is refused during a call and after the end (failure: a hold that nobody releases)', () => {
+			expect(steps(openCommand({}), acceptCommand({}), hold).outcome).toBe(
+				'refused',
+			);
+			expect(
+				steps(
+					openCommand({}),
+					{type: 'end-program', nowMs: 1000, programId, reason: 'ended'},
+					hold,
+				).outcome,
+			).toBe('refused');
+		});
+	});
+
 	describe('record-release', () => {
 		it('ignores a late copy after the program used the engine again and ended (failure: engine memory without a hold)', () => {
 			const state = createProgramsState(0);
--- a/packages/programs/src/step-programs.ts
+++ b/packages/programs/src/step-programs.ts
@@ -6,6 +6,7 @@
 import {stepExpirePrograms} from './expire-programs.ts';
 import {stepOpenProgram} from './open-program.ts';
 import {programOfShard} from './program-id.ts';
+import {stepRecordHold} from './renew-hold.ts';
 import {
 	stepAbandonProgram,
 	stepRecordRelease,
@@ -62,6 +63,10 @@
 			return stepExpirePrograms(context);
 		}
 
+		case 'record-hold': {
+			return stepRecordHold(context, command);
+		}
+
 		case 'record-release': {
 			return stepRecordRelease(context, command);
 		}
