Export engine memory over long pauses

decideRetention always got 0 free tokens for exports, so the prefix of a paused program stayed at the engine or was evicted and computed again.

The dispatcher of the engine keeps the copy, because the engine sends it to whoever asks and the next call passes the dispatcher anyway. The copies of a daemon take at most limits.exportedCacheTokens tokens; the default 0 exports nothing, because control has 64 MB per daemon at target size and a copy is as large as the memory that it frees. marjoramcove_exported_cache_tokens shows what a daemon keeps.

Order: the owner records a hold with daemon, incarnation and engine, then the dispatcher copies, then the engine frees its memory and its hold is released; no call is accepted meanwhile. Before the next call the dispatcher imports the copy and forgets it. When the import fails, or the call goes to another engine or dispatcher, the prefix is computed again. Ended programs release the holds of copies through the same repeated releases as those of engines; the copy of a dispatcher that is gone ended with its process. A dispatcher also compares its copies with the owners, for a copy that was made after its release.

The branch for 'drop' in the pause is removed: decideRetention drops only the cache of ended programs.

The stand-in engine can refuse imports, and test beds take nested policy settings.

--- /dev/null
+++ b/packages/daemon/src/dispatcher/copy-keeper.ts
@@ -0,0 +1,106 @@
+import type {UpstreamResource} from '@marjoramcove/configuration';
+import type {UpstreamId} from '@marjoramcove/types';
+import {z} from 'zod';
+import {programIdSchema} from '../call-contracts.ts';
+import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
+import type {GroupClientService} from '../services/group-client-service.ts';
+import type {PeersService} from '../services/peers-service.ts';
+import type {UpstreamsService} from '../services/upstreams-service.ts';
+import type {CallRun} from './call-run.ts';
+import {ExportedCopies} from './exported-copies.ts';
+import {findDead} from './memory-reconciler.ts';
+import type {UpstreamCaller} from './upstream-caller.ts';
+
+const exportSchema = z.object({
+	programId: programIdSchema,
+	upstreamId: z.string().transform((value) => value as UpstreamId),
+});
+
+/** Makes, returns and drops the copies of engine memory that this dispatcher keeps. */
+export class CopyKeeper {
+	readonly #context: DaemonContext;
+	readonly #caller: UpstreamCaller;
+	readonly #copies: ExportedCopies;
+
+	constructor(context: DaemonContext, caller: UpstreamCaller) {
+		this.#context = context;
+		this.#caller = caller;
+		const gauge = context.metrics.gauge(
+			'marjoramcove_exported_cache_tokens',
+			'Tokens of exported engine memory that this daemon keeps.',
+		);
+		gauge.set(0);
+		this.#copies = new ExportedCopies(
+			context.settings.limits.exportedCacheTokens,
+			(tokens) => {
+				gauge.set(tokens);
+			},
+		);
+	}
+
+	/** Answers the owners of programs. */
+	serve(peers: PeersService, upstreams: UpstreamsService): void {
+		peers.handle(
+			'dispatch.exportMemory',
+			exportSchema,
+			async ({programId, upstreamId}) => {
+				const upstream = upstreams.lookUp(upstreamId);
+				const exported =
+					upstream !== undefined &&
+					this.#context.phase === 'ready' &&
+					(await this.#copies.export(this.#engineOf(upstream), programId));
+				return {exported};
+			},
+		);
+		peers.handle(
+			'dispatch.dropCopy',
+			z.object({programId: programIdSchema}),
+			async ({programId}) => {
+				this.#copies.drop(programId);
+				return {dropped: true};
+			},
+		);
+	}
+
+	/** Gives an exported prefix back to its engine; after a failure the engine computes it again. */
+	async restore({grant}: CallRun, upstream: UpstreamResource): Promise<void> {
+		if (grant.kind !== 'model') {
+			return;
+		}
+
+		try {
+			await this.#copies.restore(this.#engineOf(upstream), grant.programId);
+		} catch (error) {
+			this.#context.retries.increment({
+				step: 'import',
+				reason: reasonOf(error),
+			});
+			this.#context.logger.info({
+				event: 'import-failed',
+				programId: grant.programId,
+				upstream: upstream.name,
+				error: messageOf(error),
+			});
+		}
+	}
+
+	/** Drops copies of ended programs whose release did not arrive or came before the copy was made. */
+	async reconcile(groups: GroupClientService): Promise<void> {
+		const {shardCount} = this.#context.settings.cluster;
+		try {
+			const dead = await findDead(this.#copies.programIds, groups, shardCount);
+			for (const programId of dead) {
+				this.#copies.drop(programId);
+			}
+		} catch (error) {
+			this.#context.retries.increment({
+				step: 'reconcile-copies',
+				reason: reasonOf(error),
+			});
+		}
+	}
+
+	#engineOf(upstream: UpstreamResource) {
+		return {upstream, dispatcher: this.#caller.agentOf(upstream)};
+	}
+}
--- a/packages/daemon/src/dispatcher/memory-reconciler.ts
+++ b/packages/daemon/src/dispatcher/memory-reconciler.ts
@@ -10,7 +10,7 @@
 const ownerTimeoutMs = 3000;
 
 /** Programs of the list that have ended or are unknown, by the owners of their shards. */
-const findDead = async (
+export const findDead = async (
 	programIds: ProgramId[],
 	groups: GroupClientService,
 	shardCount: number,
--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -15,6 +15,7 @@
 import {messageOf, reasonOf} from '../daemon-context.ts';
 import {shardGroup} from '../services/replication-service.ts';
 import type {CallRecovery} from './call-recovery.ts';
+import {type CopyHolder, parseCopyHolder} from './copy-holder.ts';
 import {type OwnerCore} from './owner-core.ts';
 
 /** Age from which an open call without progress reports is checked at its dispatcher. */
@@ -103,11 +104,20 @@
 		);
 	}
 
-	/** Releases the memory of a program at an engine; an engine that is not registered holds none. */
+	/**
+	 * Releases what a hold names: the memory of a program at an engine, or an exported copy. An engine
+	 * that is not registered holds none.
+	 */
 	async deleteMemory(
 		programId: ProgramId,
 		upstreamId: UpstreamId,
 	): Promise<void> {
+		const holder = parseCopyHolder(upstreamId);
+		if (holder) {
+			await this.#dropCopy(programId, holder);
+			return;
+		}
+
 		const upstream = this.#core.upstreams.lookUp(upstreamId);
 		if (upstream?.spec.type !== 'engine') {
 			return;
@@ -129,6 +139,24 @@
 		}
 	}
 
+	/** A copy ends with its process; one that was only cut off compares its copies with the owners. */
+	async #dropCopy(
+		programId: ProgramId,
+		{daemonId, incarnation}: CopyHolder,
+	): Promise<void> {
+		const {members, hasLease} = this.#core.configuration;
+		if (hasLease && members.get(daemonId)?.incarnation !== incarnation) {
+			return;
+		}
+
+		await this.#core.peers.call(
+			daemonId,
+			'dispatch.dropCopy',
+			{programId},
+			{timeoutMs: releaseTimeoutMs},
+		);
+	}
+
 	async #sweepShard(shard: number): Promise<void> {
 		const groupId = shardGroup(shard);
 		if (!this.#core.replication.leadership(groupId).isLeader) {
--- a/packages/daemon/src/owner/pause-program.ts
+++ b/packages/daemon/src/owner/pause-program.ts
@@ -1,7 +1,155 @@
+import type {ProgramDescription} from '@marjoramcove/programs';
 import {decideRetention, type RetentionDecision} from '@marjoramcove/scheduler';
-import type {ProgramId} from '@marjoramcove/types';
+import type {ProgramId, UpstreamId} from '@marjoramcove/types';
+import {reasonOf} from '../daemon-context.ts';
+import {
+	type CopyHolder,
+	formatCopyHolder,
+	parseCopyHolder,
+} from './copy-holder.ts';
 import type {OwnerCore} from './owner-core.ts';
 import type {OwnerSweeps} from './owner-sweeps.ts';
+import type {ProgramGates} from './program-gates.ts';
+
+type PauseParts = {core: OwnerCore; sweeps: OwnerSweeps; gates: ProgramGates};
+
+type Hold = ProgramDescription['holds'][number];
+
+/** Longer than the time limits of the request that the dispatcher sends to the engine. */
+const exportTimeoutMs = 6000;
+
+const newestHold = ({holds}: ProgramDescription): Hold | undefined =>
+	holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0];
+
+const decide = (
+	core: OwnerCore,
+	program: ProgramDescription,
+	upstreamId: UpstreamId,
+	expectedMs: number,
+): RetentionDecision => {
+	const load = core.upstreams.load(upstreamId);
+	const {policy, limits} = core.context.settings;
+	return decideRetention(
+		{
+			cachedTokens: Math.floor(program.historyBytes / 4),
+			expectedPauseMs: expectedMs,
+			programEnded: false,
+			cacheUsedTokens: load.kvTokens,
+			cacheCapacityTokens: load.kvCapacityTokens,
+			// The dispatcher refuses when other copies take the room.
+			exportFreeTokens: limits.exportedCacheTokens,
+		},
+		policy,
+	);
+};
+
+const recordRelease = async (
+	core: OwnerCore,
+	programId: ProgramId,
+	{upstreamId, heldTurn}: Hold,
+): Promise<void> => {
+	await core.commit(programId, {
+		type: 'record-release',
+		nowMs: core.commandTimeMs(programId),
+		programId,
+		upstreamId,
+		heldTurn,
+	});
+};
+
+/** Has the dispatcher copy the memory; without a copy nothing may stay held for it. */
+const copyMemory = async (
+	core: OwnerCore,
+	sweeps: OwnerSweeps,
+	programId: ProgramId,
+	holder: CopyHolder,
+): Promise<boolean> => {
+	const {daemonId, upstreamId} = holder;
+	const holdName = formatCopyHolder(holder);
+	await core.commit(programId, {
+		type: 'record-hold',
+		nowMs: core.commandTimeMs(programId),
+		programId,
+		upstreamId: holdName,
+	});
+	try {
+		const {exported} = await core.peers.call<{exported: boolean}>(
+			daemonId,
+			'dispatch.exportMemory',
+			{programId, upstreamId},
+			{timeoutMs: exportTimeoutMs},
+		);
+		if (exported) {
+			return true;
+		}
+	} catch (error) {
+		core.context.retries.increment({step: 'export', reason: reasonOf(error)});
+	}
+
+	await dropCopy(core, sweeps, programId, holdName);
+	return false;
+};
+
+/** Takes the hold of a failed copy back; when that fails too, it is released with the program. */
+const dropCopy = async (
+	core: OwnerCore,
+	sweeps: OwnerSweeps,
+	programId: ProgramId,
+	holdName: UpstreamId,
+): Promise<void> => {
+	try {
+		await sweeps.deleteMemory(programId, holdName);
+		const {holds} = await core.openProgram(programId);
+		const hold = holds.find(({upstreamId}) => upstreamId === holdName);
+		if (hold) {
+			await recordRelease(core, programId, hold);
+		}
+	} catch (error) {
+		core.context.retries.increment({
+			step: 'drop-copy',
+			reason: reasonOf(error),
+		});
+	}
+};
+
+const findHolder = (
+	core: OwnerCore,
+	upstreamId: UpstreamId,
+): CopyHolder | undefined => {
+	const daemonId = core.upstreams.dispatcherOf(upstreamId);
+	const member = daemonId && core.configuration.members.get(daemonId);
+	return member && {daemonId, incarnation: member.incarnation, upstreamId};
+};
+
+/**
+ * Moves the memory of a hold to a copy. The hold of the copy is recorded before the copy is made, and
+ * the engine frees its memory only after it was made.
+ */
+const exportMemory = async (
+	core: OwnerCore,
+	sweeps: OwnerSweeps,
+	programId: ProgramId,
+	{upstreamId, heldTurn}: Hold,
+): Promise<RetentionDecision> => {
+	const program = await core.openProgram(programId);
+	const hold = newestHold(program);
+	const isOutdated =
+		program.call !== undefined ||
+		hold?.upstreamId !== upstreamId ||
+		hold.heldTurn !== heldTurn;
+	const holder = findHolder(core, upstreamId);
+	if (
+		isOutdated ||
+		!holder ||
+		!(await copyMemory(core, sweeps, programId, holder))
+	) {
+		return 'keep';
+	}
+
+	await sweeps.deleteMemory(programId, upstreamId);
+	await recordRelease(core, programId, hold);
+	return 'export';
+};
 
 /**
  * Decides what happens to the cache of a program over a pause, and does it.
@@ -9,38 +157,28 @@
  * @throws RefusedError when the program is unknown or has ended.
  */
 export const pauseProgram = async (
-	core: OwnerCore,
-	sweeps: OwnerSweeps,
+	{core, sweeps, gates}: PauseParts,
 	{programId, expectedMs}: {programId: ProgramId; expectedMs: number},
 ): Promise<{programId: ProgramId; decision: RetentionDecision}> => {
 	const program = await core.openProgram(programId);
-	const hold = program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0];
+	const hold = newestHold(program);
 	if (!hold || program.call) {
 		return {programId, decision: 'keep'};
 	}
 
-	const load = core.upstreams.load(hold.upstreamId);
-	const decision = decideRetention(
-		{
-			cachedTokens: Math.floor(program.historyBytes / 4),
-			expectedPauseMs: expectedMs,
-			programEnded: false,
-			cacheUsedTokens: load.kvTokens,
-			cacheCapacityTokens: load.kvCapacityTokens,
-			exportFreeTokens: 0,
-		},
-		core.context.settings.policy,
-	);
-	if (decision === 'drop') {
-		await sweeps.deleteMemory(programId, hold.upstreamId);
-		await core.commit(programId, {
-			type: 'record-release',
-			nowMs: core.commandTimeMs(programId),
-			programId,
-			upstreamId: hold.upstreamId,
-			heldTurn: hold.heldTurn,
-		});
+	if (parseCopyHolder(hold.upstreamId)) {
+		return {programId, decision: 'export'};
 	}
 
-	return {programId, decision};
+	const decision = decide(core, program, hold.upstreamId, expectedMs);
+	return {
+		programId,
+		decision:
+			decision === 'export'
+				? // No call of the program is accepted until the copy is made.
+					await gates.enter(programId, async () =>
+						exportMemory(core, sweeps, programId, hold),
+					)
+				: decision,
+	};
 };
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -15,6 +15,7 @@
 } from '@marjoramcove/types';
 import {assumedCompletionTokens, type Target} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
+import {engineOfHold} from './copy-holder.ts';
 import {estimateEngineWork} from './estimate-engine-work.ts';
 import type {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
@@ -45,7 +46,9 @@
 		: `${target.service}/${target.operation}`;
 
 const previousEngine = (program: ProgramDescription): UpstreamId | undefined =>
-	program.holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0]?.upstreamId;
+	program.holds
+		.toSorted((a, b) => b.heldTurn - a.heldTurn)
+		.map(({upstreamId}) => engineOfHold(upstreamId))[0];
 
 const viewOf = (
 	core: OwnerCore,
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -23,6 +23,7 @@
 import {CallRun} from '../dispatcher/call-run.ts';
 import {ClosedAttempts} from '../dispatcher/closed-attempts.ts';
 import {EngineQueue} from '../dispatcher/engine-queue.ts';
+import {CopyKeeper} from '../dispatcher/copy-keeper.ts';
 import {reconcileEngineMemory} from '../dispatcher/memory-reconciler.ts';
 import type {ModelEnd} from '../dispatcher/run-model-call.ts';
 import {UpstreamCaller} from '../dispatcher/upstream-caller.ts';
@@ -49,6 +50,7 @@
 
 	readonly #caller: UpstreamCaller;
 	readonly #queues = new Map<UpstreamId, EngineQueue>();
+	readonly #copies: CopyKeeper;
 
 	#configuration!: ConfigurationService;
 	#upstreams!: UpstreamsService;
@@ -60,6 +62,7 @@
 		super();
 		this.#context = context;
 		this.#caller = new UpstreamCaller(context);
+		this.#copies = new CopyKeeper(context, this.#caller);
 	}
 
 	override get name() {
@@ -76,6 +79,7 @@
 			upstreams: this.#upstreams,
 		});
 		this.#serve(kernel.get<PeersService>('peers'));
+		this.#copies.serve(kernel.get<PeersService>('peers'), this.#upstreams);
 		this.#timers = [
 			setInterval(() => {
 				this.#forgetOld();
@@ -249,6 +253,10 @@
 		run: CallRun,
 		upstream: UpstreamResource,
 	): Promise<ModelEnd | undefined> {
+		if (!run.isFinished) {
+			await this.#copies.restore(run, upstream);
+		}
+
 		if (run.isFinished) {
 			return undefined;
 		}
@@ -302,6 +310,7 @@
 
 	/** Releases memory that engines hold for programs that have ended or are unknown. */
 	async #reconcileMemory(): Promise<void> {
+		await this.#copies.reconcile(this.#groups);
 		const {daemonId} = this.#context.settings;
 		const engines = this.#configuration.view.upstreams.filter(
 			({name, spec}) =>
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -274,7 +274,10 @@
 			'programs.pause',
 			z.object({programId: programIdSchema, expectedMs: z.number()}),
 			async ({programId, expectedMs}) =>
-				pauseProgram(this.#core, this.#sweeps, {programId, expectedMs}),
+				pauseProgram(
+					{core: this.#core, sweeps: this.#sweeps, gates: this.#gates},
+					{programId, expectedMs},
+				),
 		);
 		peers.handle(
 			'programs.findDead',
--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -23,6 +23,7 @@
 	stepPrograms,
 } from '@marjoramcove/programs';
 import type {UpstreamId} from '@marjoramcove/types';
+import {engineOfHold} from '../owner/copy-holder.ts';
 import {CommandClock} from '../owner/command-clock.ts';
 
 /** Encodes a command for the replicated log. */
@@ -81,7 +82,7 @@
 		newest = newest && newest.turn > hold.turn ? newest : hold;
 	}
 
-	return newest?.upstreamId;
+	return newest && engineOfHold(newest.upstreamId);
 };
 
 /** Replicated programs of one shard. */
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -71,6 +71,8 @@
 	defaultCompletionTokens: countSchema.default(1024),
 	/** Fewest bytes of UTF-8 per token of the tokenizers in use; reservations of prompts divide by it. */
 	bytesPerToken: z.number().min(1).max(16).default(4),
+	/** Tokens of exported engine memory that a daemon keeps over pauses of programs; 0 exports nothing. */
+	exportedCacheTokens: z.int().min(0).max(1_000_000_000).default(0),
 	snapshotEntries: countSchema.default(10_000),
 });
 
--- a/packages/test-support/src/cluster/write-settings.ts
+++ b/packages/test-support/src/cluster/write-settings.ts
@@ -6,7 +6,7 @@
 export type SettingsOverrides = {
 	timing?: Record<string, number>;
 	limits?: Record<string, number>;
-	policy?: Record<string, number>;
+	policy?: Record<string, unknown>;
 	vmList?: {url: string};
 	weightStore?: {url: string};
 	shardCount?: number;
--- a/packages/test-support/src/engine/engine-options.ts
+++ b/packages/test-support/src/engine/engine-options.ts
@@ -27,6 +27,8 @@
 	dropEveryNthCacheEvent: number;
 	/** Number of later `DELETE /v1/kv` requests that are answered without any effect. */
 	loseReleases: number;
+	/** Number of later `POST /v1/kv/import` requests that are refused. */
+	failImports: number;
 	version: string;
 	adapters: string[];
 	role: string;
@@ -47,6 +49,7 @@
 	cacheEventLagMs: 300,
 	dropEveryNthCacheEvent: 0,
 	loseReleases: 0,
+	failImports: 0,
 	version: '1',
 	adapters: [],
 	role: 'mixed',
--- a/packages/test-support/src/engine/route-memory.ts
+++ b/packages/test-support/src/engine/route-memory.ts
@@ -40,6 +40,12 @@
 			'/v1/kv/import',
 			handle(async (request, response) => {
 				const body = await readJson<{programId: string; text: string}>(request);
+				if (source.options.failImports > 0) {
+					source.options.failImports--;
+					sendJson(response, 503, {error: {message: 'The import failed.'}});
+					return;
+				}
+
 				source.memory().store(body.programId, body.text, 'imported');
 				sendJson(response, 200, {tokens: countTokens(body.text)});
 			}),
