--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -105,16 +105,8 @@
 		);
 	}
 
-	const {chosen, views} = choose(core, request, {
-		count: allowed.length,
-		viewAt: (position) => viewOf(core, loads, request, allowed[position]!),
-		viewOf(upstreamId) {
-			const upstream = view.upstreamFor(upstreamId, program.labels, target, {
-				includeLeaving: true,
-			});
-			return upstream && viewOf(core, loads, request, upstream);
-		},
-	});
+	const directory = createDirectory(core, loads, request, allowed);
+	const {chosen, views} = choose(core, request, directory);
 	if (!chosen) {
 		throw refusal(
 			'no-upstream',
@@ -130,6 +122,26 @@
 	};
 };
 
+/** Builds the view of an upstream only when a decision looks at it. */
+const createDirectory = (
+	core: OwnerCore,
+	loads: OpenCallLoads,
+	request: RouteRequest,
+	allowed: readonly UpstreamResource[],
+): EngineDirectory => ({
+	count: allowed.length,
+	viewAt: (position) => viewOf(core, loads, request, allowed[position]!),
+	viewOf(upstreamId) {
+		const upstream = core.configuration.view.upstreamFor(
+			upstreamId,
+			request.program.labels,
+			request.target,
+			{includeLeaving: true},
+		);
+		return upstream && viewOf(core, loads, request, upstream);
+	},
+});
+
 /** Positions 0 to count - 1 in random order; the cost is that of the positions taken. */
 function* drawPositions(count: number): Generator<number> {
 	const moved = new Map<number, number>();
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -182,26 +182,29 @@
 				return state;
 			},
 		);
-		peers.handle('programs.settle', settleSchema, async (settlement) => {
-			const {load, speed, ...input} = settlement;
-			await this.#core.lead(input.programId);
-			if (load) {
-				const {upstreamId, ageMs, ...report} = load;
-				this.#core.upstreams.noteLoad(upstreamId, report, ageMs);
-			}
+		peers.handle('programs.settle', settleSchema, async (settlement) =>
+			this.#settle(settlement),
+		);
+	}
 
-			const result = await this.#core.commit(input.programId, {
-				type: 'settle-call',
-				nowMs: this.#core.commandTimeMs(input.programId),
-				...input,
-			});
-			if (speed && result.outcome === 'settled' && !result.repeated) {
-				this.#core.speeds.record(speed);
-			}
+	async #settle({load, speed, ...input}: z.output<typeof settleSchema>) {
+		await this.#core.lead(input.programId);
+		if (load) {
+			const {upstreamId, ageMs, ...report} = load;
+			this.#core.upstreams.noteLoad(upstreamId, report, ageMs);
+		}
 
-			this.#reportOverrun(input, result);
-			return result;
+		const result = await this.#core.commit(input.programId, {
+			type: 'settle-call',
+			nowMs: this.#core.commandTimeMs(input.programId),
+			...input,
 		});
+		if (speed && result.outcome === 'settled' && !result.repeated) {
+			this.#core.speeds.record(speed);
+		}
+
+		this.#reportOverrun(input, result);
+		return result;
 	}
 
 	/** An engine counted more tokens than were reserved: `limits.bytesPerToken` is too large for it. */
