Read each entry of a history by itself again

At the target the entries of a program lie far apart in the stream of their shard, so joined reads would not help there either; a history that is sent again each turn needs another mechanism.

--- a/packages/daemon/src/owner/call-accepter.ts
+++ b/packages/daemon/src/owner/call-accepter.ts
@@ -19,7 +19,6 @@
 import {admitModelCall} from './admit-model-call.ts';
 import {planMessages} from './plan-messages.ts';
 import type {ProgramGates} from './program-gates.ts';
-import {readTexts} from './read-texts.ts';
 import {type Outstanding, type Route, routeCall} from './route-call.ts';
 
 /** Tokens that a prompt of these sizes takes at most; one byte per entry separates them. */
@@ -116,8 +115,15 @@
 	async readMessages(programId: ProgramId): Promise<HistoryText[]> {
 		const entries = historyEntries(this.#core.stateOf(programId), programId);
 		const groupId = this.#core.groupOf(programId);
-		return readTexts(entries, async (offset, lengthBytes) =>
-			this.#core.replication.readHistoryBytes(groupId, offset, lengthBytes),
+		return Promise.all(
+			entries.map(async ({role, offset, lengthBytes}) => ({
+				role,
+				content: await this.#core.replication.readHistory(
+					groupId,
+					offset,
+					lengthBytes,
+				),
+			})),
 		);
 	}
 
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -183,24 +183,15 @@
 		return result as Result;
 	}
 
-	/** Text of a range of the history. */
 	async readHistory(
 		groupId: GroupId,
 		offset: number,
 		lengthBytes: number,
 	): Promise<string> {
-		const bytes = await this.readHistoryBytes(groupId, offset, lengthBytes);
+		const bytes = await this.#host!.readHistory(groupId, offset, lengthBytes);
 		return Buffer.from(bytes).toString('utf8');
 	}
 
-	async readHistoryBytes(
-		groupId: GroupId,
-		offset: number,
-		lengthBytes: number,
-	): Promise<Uint8Array> {
-		return this.#host!.readHistory(groupId, offset, lengthBytes);
-	}
-
 	status() {
 		return this.#host?.status() ?? [];
 	}
