Delete the histories of ended programs

The time is a setting now (limits.endedProgramRetentionMs, 10 minutes as before). expire-programs carries it, so that replicas with other settings stay equal, and the machine keeps the latest time before which programs may have been dropped: a longer retention does not let an old copy of open-program open a dropped program again.

When it is durable, the replica deletes the segments that end before; a restart repeats a deletion that a crash has undone.

A program with a long wall time holds back the deletion of what came after it.

The gauges marjoramcove_history_held_bytes and marjoramcove_history_reclaimed_bytes and the column HISTORY of the replication output show the effect.

measure-consensus.ts keeps all entries in memory, as before the shared bound.

--- a/packages/cli/src/api-types.ts
+++ b/packages/cli/src/api-types.ts
@@ -80,6 +80,8 @@
 export type GroupEntry = Record<string, unknown> & {
 	groupId: string;
 	leaderId?: string;
+	historyBytes?: number;
+	historyStartBytes?: number;
 	replicas: ReplicaEntry[];
 	repair?: RepairEntry;
 };
--- a/packages/cli/src/commands/maintain.ts
+++ b/packages/cli/src/commands/maintain.ts
@@ -112,6 +112,13 @@
 const describeRepair = ({repair}: GroupEntry): string | undefined =>
 	repair && `${repair.phase} ${Math.floor(repair.progress * 100)}%`;
 
+/** Megabytes of histories on the disk of the replica that reported. */
+const describeHistory = ({
+	historyBytes = 0,
+	historyStartBytes = 0,
+}: GroupEntry): string =>
+	`${((historyBytes - historyStartBytes) / 1_000_000).toFixed(1)} MB`;
+
 const formatGroups = (groups: GroupEntry[]): string =>
 	formatTable(
 		[
@@ -121,6 +128,7 @@
 				'REPLICAS',
 				(row) => row.replicas.map((entry) => describeReplica(entry)),
 			],
+			['HISTORY', describeHistory],
 			['REPAIR', describeRepair],
 		],
 		groups,
--- a/packages/consensus/src/describe-group.ts
+++ b/packages/consensus/src/describe-group.ts
@@ -92,6 +92,8 @@
 		appliedIndex: state.appliedIndex,
 		snapshotIndex: group.snapshotMeta?.index ?? 0,
 		historyBytes: group.history.lengthBytes,
+		historyStartBytes: group.history.startOffset,
+		historyReclaimedBytes: group.history.reclaimedBytes,
 		logMemoryBytes: group.state.log.sizeBytes,
 		replicas: describeReplicas(state, nowMs),
 		repair: describeRepair(group, membership),
--- a/packages/consensus/src/group-port.ts
+++ b/packages/consensus/src/group-port.ts
@@ -23,7 +23,7 @@
 	snapshotEveryBytes: number;
 	step: typeof stepRaft;
 	snapshots: SnapshotStore<SnapshotMeta>;
-	openHistory: () => Promise<HistoryStream>;
+	openHistory: (startOffset: number | undefined) => Promise<HistoryStream>;
 	/** Appends records to the shared log; resolves with their segment after the sync. */
 	append: (records: LogRecord[]) => Promise<number>;
 	send: (to: PeerAddress, message: PeerMessage) => void;
--- a/packages/consensus/src/host-disk.ts
+++ b/packages/consensus/src/host-disk.ts
@@ -31,7 +31,10 @@
 	snapshots: SnapshotStore<SnapshotMeta>;
 	/** Logs of groups that are not added yet. */
 	recovered: Map<string, RecoveredLog>;
-	openHistory: (groupId: GroupId) => Promise<HistoryStream>;
+	openHistory: (
+		groupId: GroupId,
+		startOffset: number | undefined,
+	) => Promise<HistoryStream>;
 	setHandlers: (handlers: DiskHandlers) => void;
 };
 
@@ -73,9 +76,11 @@
 			fileSystem,
 			path.join(folder, 'snapshots'),
 		),
-		openHistory: async (groupId) =>
+		openHistory: async (groupId, startOffset) =>
 			HistoryStream.open(fileSystem, path.join(folder, 'history', groupId), {
 				waitForSpace,
+				startOffset,
+				segmentSizeBytes: options.historySegmentSizeBytes,
 				onFailure(error) {
 					handlers?.onFailure(error);
 				},
@@ -108,7 +113,7 @@
 	snapshotEveryBytes: options.snapshotEveryBytes ?? 4 * 1024 * 1024,
 	step: options.step ?? stepRaft,
 	snapshots: disk.snapshots,
-	openHistory: async () => disk.openHistory(groupId),
+	openHistory: async (startOffset) => disk.openHistory(groupId, startOffset),
 	append: async (records) => disk.log.append(records),
 	report(event, fields) {
 		options.onEvent?.(event, fields);
--- a/packages/consensus/src/raft-types.ts
+++ b/packages/consensus/src/raft-types.ts
@@ -51,6 +51,8 @@
 	membership: Membership;
 	/** Length of the history stream after this entry. */
 	historyBytes: number;
+	/** First offset of the history that the snapshot refers to; 0 when absent. */
+	historyStart?: number;
 	/** Size of the encoded state machine. */
 	sizeBytes: number;
 };
--- a/packages/consensus/src/replica-group.ts
+++ b/packages/consensus/src/replica-group.ts
@@ -51,7 +51,7 @@
 		opening: GroupOpening,
 	): Promise<ReplicaGroup> {
 		const snapshot = await port.snapshots.loadLatest(opening.groupId);
-		const history = await port.openHistory();
+		const history = await port.openHistory(snapshot?.meta.historyStart);
 		await history.truncate(snapshot?.meta.historyBytes ?? 0);
 		if (snapshot) {
 			opening.machine.restoreSnapshot(snapshot.bytes);
--- a/packages/consensus/src/replica-options.ts
+++ b/packages/consensus/src/replica-options.ts
@@ -33,6 +33,8 @@
 	logMemorySizeBytes?: number;
 	/** Size of a segment of the write-ahead log. Default 16 MiB. */
 	segmentSizeBytes?: number;
+	/** Size of a segment of a history; whole segments are deleted. Default 64 MiB. */
+	historySegmentSizeBytes?: number;
 	/** Largest command. Default 8 MiB. */
 	commandSizeBytes?: number;
 	/** Called once when the host cannot continue: the process must stop. */
@@ -103,6 +105,10 @@
 	appliedIndex: number;
 	snapshotIndex: number;
 	historyBytes: number;
+	/** First stored offset of the history; what was before it has been deleted. */
+	historyStartBytes: number;
+	/** Bytes of the history that were deleted since the start of the process. */
+	historyReclaimedBytes: number;
 	/** Memory that the entries of the log take. */
 	logMemoryBytes: number;
 	replicas: ReplicaStatus[];
--- a/packages/consensus/src/snapshot-fetch.ts
+++ b/packages/consensus/src/snapshot-fetch.ts
@@ -135,7 +135,10 @@
 
 		const {port, history} = this.#options;
 		this.#askedAtMs = this.#nowMs;
-		if (history.lengthBytes < this.#meta.historyBytes) {
+		const {historyStart = 0} = this.#meta;
+		if (history.lengthBytes < historyStart) {
+			void this.#skip(historyStart);
+		} else if (history.lengthBytes < this.#meta.historyBytes) {
 			port.send(this.#from, {
 				type: 'fetch-history',
 				offset: history.lengthBytes,
@@ -152,6 +155,20 @@
 		}
 	}
 
+	/** Leaves out the history that the source has deleted. */
+	async #skip(offset: number) {
+		try {
+			const {history} = this.#options;
+			await history.flush();
+			if (!this.#isEnding) {
+				history.skipTo(offset);
+				this.#ask();
+			}
+		} catch (error) {
+			this.#options.port.fail(error);
+		}
+	}
+
 	async #complete() {
 		this.#isEnding = true;
 		const {port, groupId, history, finish} = this.#options;
@@ -163,6 +180,7 @@
 			await history.sync();
 			await port.snapshots.save(groupId, this.#meta, this.bytes);
 			finish(this.#meta);
+			await history.deleteBefore(this.#meta.historyStart ?? 0);
 		} catch (error) {
 			if (isDiskFull(error)) {
 				this.#isEnding = false;
--- a/packages/consensus/src/snapshot-keeper.ts
+++ b/packages/consensus/src/snapshot-keeper.ts
@@ -62,7 +62,12 @@
 
 	/** Encodes the state now and saves it in the background. */
 	take(machine: StateMachine, state: RaftState, history: HistoryStream): void {
-		if (this.#isSaving || state.appliedIndex <= (this.latest?.index ?? 0)) {
+		// While a snapshot is fetched, the history is ahead of the state.
+		if (
+			this.#isSaving ||
+			state.isFetching ||
+			state.appliedIndex <= (this.latest?.index ?? 0)
+		) {
 			return;
 		}
 
@@ -74,6 +79,7 @@
 			term: state.log.termAt(state.appliedIndex)!,
 			membership: membershipAt(state, state.appliedIndex),
 			historyBytes: history.lengthBytes,
+			historyStart: machine.historyFloor(),
 			sizeBytes: bytes.length,
 		};
 		void this.#save(meta, bytes, history);
@@ -88,6 +94,8 @@
 				this.latest = meta;
 			}
 
+			await history.deleteBefore(this.latest?.historyStart ?? 0);
+
 			this.#port.snapshotSaved();
 		} catch (error) {
 			if (!isDiskFull(error)) {
--- a/packages/consensus/src/state-machine.ts
+++ b/packages/consensus/src/state-machine.ts
@@ -14,6 +14,14 @@
  * must depend on nothing but the state and the command.
  */
 export abstract class StateMachine {
+	/**
+	 * First offset of the history stream that the state refers to. It depends on the state alone and
+	 * never goes back; what is before it is deleted after the next snapshot.
+	 */
+	historyFloor(): number {
+		return 0;
+	}
+
 	/** Applies a command. It must not throw: a refusal is a result like any other. */
 	abstract apply(entry: CommittedEntry): ApplyOutcome;
 	/** Encodes the whole state. */
--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -159,9 +159,10 @@
 	/** Proposes an expiry only when something is due, so that idle shards write no log. */
 	async #expire(state: ProgramsState, shard: number): Promise<void> {
 		const nowMs = this.#core.shardTimeMs(shard);
+		const {endedProgramRetentionMs} = this.#core.context.settings.limits;
 		// A replica that restarts learns the time from the log, so the log must not stand still for long.
 		const isDue =
-			isExpiryDue(state, nowMs) ||
+			isExpiryDue(state, nowMs, endedProgramRetentionMs) ||
 			(state.programs.size > 0 &&
 				nowMs - state.clockMs >= clockEntryIntervalMs);
 		if (!isDue) {
@@ -170,7 +171,7 @@
 
 		const result = await this.#core.replication.propose<ProgramResult>(
 			shardGroup(shard),
-			{type: 'expire-programs', nowMs},
+			{type: 'expire-programs', nowMs, endedProgramRetentionMs},
 		);
 		if (result.outcome === 'expired') {
 			await this.cancel(result.cancelled);
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -35,6 +35,9 @@
 	result: ProgramResult,
 ) => void;
 
+/** Interval at which the gauges of the histories are set. */
+const metricsIntervalMs = 5000;
+
 /** Runs the replicas of this daemon's disk; without the role `state` it leads and knows nothing. */
 export class ReplicationService extends Service {
 	readonly configuration = new ConfigurationMachine();
@@ -47,6 +50,7 @@
 	>();
 
 	#host: ReplicaHost | undefined;
+	#metricsTimer: NodeJS.Timeout | undefined;
 
 	constructor(context: DaemonContext) {
 		super();
@@ -96,9 +100,13 @@
 			},
 		});
 		await this.#addGroups(this.#host);
+		this.#metricsTimer = setInterval(() => {
+			this.#publishMetrics();
+		}, metricsIntervalMs).unref();
 	}
 
 	override async stop() {
+		clearInterval(this.#metricsTimer);
 		await this.#host?.stop();
 	}
 
@@ -205,6 +213,22 @@
 		await this.#host.changeReplicas(groupId, change);
 	}
 
+	#publishMetrics(): void {
+		const held = this.#context.metrics.gauge(
+			'marjoramcove_history_held_bytes',
+			'Bytes of the histories on the disk by group.',
+		);
+		const reclaimed = this.#context.metrics.gauge(
+			'marjoramcove_history_reclaimed_bytes',
+			'Bytes of histories of ended programs that were deleted since the start, by group.',
+		);
+		for (const status of this.status()) {
+			const {groupId, historyBytes, historyStartBytes} = status;
+			held.set(historyBytes - historyStartBytes, {group: groupId});
+			reclaimed.set(status.historyReclaimedBytes, {group: groupId});
+		}
+	}
+
 	#serve(peers: PeersService): void {
 		peers.handle(
 			'replication.deliver',
--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -16,6 +16,7 @@
 	decodePrograms,
 	encodeHistoryText,
 	encodePrograms,
+	historyFloor,
 	type ProgramCommand,
 	type ProgramLimits,
 	type ProgramResult,
@@ -85,6 +86,10 @@
 		return encodePrograms(this.state);
 	}
 
+	override historyFloor(): number {
+		return historyFloor(this.state);
+	}
+
 	override restoreSnapshot(bytes: Uint8Array): void {
 		this.state = decodePrograms(bytes);
 		Object.assign(this.state.limits, this.#limits);
--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -104,7 +104,12 @@
 			programId: ProgramId;
 			reason: string;
 	  }
-	| {type: 'expire-programs'; nowMs: number}
+	| {
+			type: 'expire-programs';
+			nowMs: number;
+			/** New value of the limit `tombstoneRetentionMs`, the same on all replicas. Default: unchanged. */
+			endedProgramRetentionMs?: number;
+	  }
 	| {
 			/** An engine confirmed that it holds no memory for the program any more. */
 			type: 'record-release';
--- a/packages/programs/src/expire-programs.ts
+++ b/packages/programs/src/expire-programs.ts
@@ -2,7 +2,7 @@
 import {cancelCall, endProgram} from './end-program.ts';
 import type {CancelledCall, ProgramResult} from './results.ts';
 import {isHolding, type Program, type ProgramsState} from './state.ts';
-import type {StepContext} from './step-context.ts';
+import type {CommandOf, StepContext} from './step-context.ts';
 
 const isDroppable = (
 	state: ProgramsState,
@@ -86,8 +86,19 @@
  * Applies `expire-programs`: ends programs whose wall time is used up, settles calls that are open
  * past their timeout, and drops old tombstones that hold nothing.
  */
-export const stepExpirePrograms = (context: StepContext): ProgramResult => {
+export const stepExpirePrograms = (
+	context: StepContext,
+	{endedProgramRetentionMs}: CommandOf<'expire-programs'>,
+): ProgramResult => {
 	const {state, nowMs} = context;
+	const {limits} = state;
+	limits.tombstoneRetentionMs =
+		endedProgramRetentionMs ?? limits.tombstoneRetentionMs;
+	// It never goes back: a longer retention does not bring dropped programs back.
+	state.droppedBeforeMs = Math.max(
+		state.droppedBeforeMs,
+		nowMs - limits.tombstoneRetentionMs,
+	);
 	const ended = [];
 	const cancelled: CancelledCall[] = [];
 	const dropped = dropTombstones(context);
@@ -114,12 +125,17 @@
  * Whether an `expire-programs` at this time would change something. Only programs of which something
  * may be due are looked at.
  *
+ * @param endedProgramRetentionMs - the retention that the command will carry. Default: the present one.
  * @example
  * ```ts
  * if (isExpiryDue(state, nowMs)) propose({type: 'expire-programs', nowMs});
  * ```
  */
-export const isExpiryDue = (state: ProgramsState, nowMs: number): boolean => {
+export const isExpiryDue = (
+	state: ProgramsState,
+	nowMs: number,
+	endedProgramRetentionMs = state.limits.tombstoneRetentionMs,
+): boolean => {
 	const {programs, limits} = state;
 	const isAnyDue = (
 		programIds: ProgramId[],
@@ -139,7 +155,7 @@
 			(program) => findTimeout({state, nowMs}, program) !== undefined,
 		) ||
 		programs.tombstones.list(
-			nowMs - limits.tombstoneRetentionMs - TOMBSTONE_SLACK_MS,
+			nowMs - endedProgramRetentionMs - TOMBSTONE_SLACK_MS,
 		).length > 0
 	);
 };
--- a/packages/programs/src/limits.test.ts
+++ b/packages/programs/src/limits.test.ts
@@ -10,6 +10,8 @@
 	createProgramsState,
 	describeProgram,
 	findRequest,
+	historyEntries,
+	historyFloor,
 	pendingReleases,
 	type ProgramCommand,
 	stepPrograms,
@@ -118,4 +120,51 @@
 		expect(result).toMatchObject({reason: 'command-too-old'});
 		expect(state.programs.size).toBe(0);
 	});
+
+	it('stays closed for old copies when the retention grows (failure: an ended program runs again after a change of the setting)', () => {
+		const expire = (nowMs: number, endedProgramRetentionMs: number) => ({
+			type: 'expire-programs' as const,
+			nowMs,
+			endedProgramRetentionMs,
+		});
+		const {state, result} = run([
+			{type: 'end-program', nowMs: 2000, programId, reason: 'done'},
+			expire(20_000, 5000),
+			expire(21_000, 600_000),
+			openCommand({nowMs: 14_000}),
+		]);
+		expect(result).toMatchObject({reason: 'command-too-old'});
+		expect(state.programs.size).toBe(0);
+		const late = stepPrograms(state, acceptCommand({nowMs: 22_000}));
+		expect(late.result).toMatchObject({
+			outcome: 'refused',
+			reason: 'program-unknown',
+		});
+	});
+
+	it('gives up the history of dropped programs only (failure: a history is deleted that can still be read, or the disk fills up)', () => {
+		const other = asId<ProgramId>('p0-b');
+		const state = createProgramsState(0);
+		for (const command of [
+			openCommand({}),
+			...turn('r1'),
+			openCommand({programId: other}),
+			acceptCommand({programId: other}),
+			{type: 'end-program', nowMs: 2000, programId, reason: 'done'},
+		] as ProgramCommand[]) {
+			stepPrograms(state, command);
+		}
+
+		expect(historyFloor(state)).toBe(0);
+		const [release] = pendingReleases(state);
+		stepPrograms(state, {type: 'record-release', nowMs: 2000, ...release!});
+		stepPrograms(state, {
+			type: 'expire-programs',
+			nowMs: 9000,
+			endedProgramRetentionMs: 5000,
+		});
+		expect(state.programs.size).toBe(1);
+		expect(historyFloor(state)).toBe(historyEntries(state, other)[0]!.offset);
+		expect(historyFloor(state)).toBeGreaterThan(0);
+	});
 });
--- a/packages/programs/src/state.ts
+++ b/packages/programs/src/state.ts
@@ -23,7 +23,7 @@
 	attemptsPerCall: number;
 	/** Sub-agents of one program over its life. */
 	childrenPerProgram: number;
-	/** Time after which an ended program with nothing held is dropped; also the oldest accepted command. */
+	/** Time after which an ended program with nothing held is dropped. */
 	tombstoneRetentionMs: number;
 	/** Time that an open call may exceed its timeout before the machine settles it. */
 	callGraceMs: number;
@@ -118,6 +118,8 @@
 	limits: ProgramLimits;
 	/** Largest time seen in a command. */
 	clockMs: number;
+	/** Programs that ended before this time may have been dropped; also the oldest accepted command. */
+	droppedBeforeMs: number;
 	/** Length of the history stream of the shard. */
 	historyLengthBytes: number;
 	texts: TextTable;
@@ -141,6 +143,7 @@
 	shard,
 	limits: {...DEFAULT_PROGRAM_LIMITS, ...limits},
 	clockMs: 0,
+	droppedBeforeMs: 0,
 	historyLengthBytes: 0,
 	texts: createTextTable(),
 	programs: new ProgramTable(),
--- a/packages/programs/src/step-programs.ts
+++ b/packages/programs/src/step-programs.ts
@@ -23,7 +23,11 @@
  */
 const isTooOld = (state: ProgramsState, command: ProgramCommand): boolean =>
 	(command.type === 'open-program' || command.type === 'abandon-program') &&
-	command.nowMs < state.clockMs - state.limits.tombstoneRetentionMs;
+	command.nowMs <
+		Math.max(
+			state.droppedBeforeMs,
+			state.clockMs - state.limits.tombstoneRetentionMs,
+		);
 
 const applyCommand = (
 	context: StepContext,
@@ -59,7 +63,7 @@
 		}
 
 		case 'expire-programs': {
-			return stepExpirePrograms(context);
+			return stepExpirePrograms(context, command);
 		}
 
 		case 'record-release': {
@@ -101,7 +105,7 @@
 	return isTooOld(state, command)
 		? refuse(
 				'command-too-old',
-				`The command is older than ${state.limits.tombstoneRetentionMs} ms.`,
+				'The command is older than programs that may have been dropped since.',
 			)
 		: undefined;
 };
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -72,6 +72,8 @@
 	/** Fewest bytes of UTF-8 per token of the tokenizers in use; reservations of prompts divide by it. */
 	bytesPerToken: z.number().min(1).max(16).default(4),
 	snapshotEntries: countSchema.default(10_000),
+	/** Time for which an ended program with nothing held is kept, with its request records and its history. */
+	endedProgramRetentionMs: durationSchema.default(600_000),
 	/** Memory of the replicated logs of all groups of a daemon together. */
 	logMemorySizeBytes: sizeSchema.default(8 * 1024 * 1024),
 });
--- a/packages/soak/src/consensus/faults.ts
+++ b/packages/soak/src/consensus/faults.ts
@@ -45,5 +45,9 @@
 	'append-before-sync': {step: sendBeforeSync(new Set(['append-response']))},
 	'no-quorum-read': {step: readWithoutQuorum},
 	'double-vote': {step: forgetVote},
+	'delete-live-history': {
+		findFloor: (operations) =>
+			Buffer.byteLength(operations.map((id) => `${id}\n`).join('')),
+	},
 	'reuse-disk-id': {createDiskId: (daemonId) => `disk-${daemonId}`},
 };
--- a/packages/soak/src/consensus/list-machine.ts
+++ b/packages/soak/src/consensus/list-machine.ts
@@ -1,9 +1,32 @@
 import {StateMachine} from '@marjoramcove/consensus';
 
+/** Operations whose history is kept; that of older ones is given up. */
+const KEPT_OPERATIONS = 30;
+
+/** First offset of the history of the kept operations. */
+export const floorOf = (operations: readonly string[]): number => {
+	let floor = 0;
+	for (const operation of operations.slice(0, -KEPT_OPERATIONS)) {
+		floor += Buffer.byteLength(operation) + 1;
+	}
+
+	return floor;
+};
+
 /** Keeps the ids of all applied operations in order and appends each to the history. */
 export class ListMachine extends StateMachine {
 	operations: string[] = [];
 	#appliedIndex = 0;
+	readonly #floorOf: (operations: readonly string[]) => number;
+
+	constructor(findFloor = floorOf) {
+		super();
+		this.#floorOf = findFloor;
+	}
+
+	override historyFloor() {
+		return this.#floorOf(this.operations);
+	}
 
 	override apply({index, command}: {index: number; command: Uint8Array}) {
 		if (index <= this.#appliedIndex) {
--- a/packages/soak/src/consensus/operation-checker.ts
+++ b/packages/soak/src/consensus/operation-checker.ts
@@ -1,6 +1,7 @@
 import {MarjoramcoveError} from '@marjoramcove/errors';
 import type {GroupId} from '@marjoramcove/types';
 import type {EventLog} from './event-log.ts';
+import {floorOf} from './list-machine.ts';
 import type {SimulatedDaemon} from './simulated-daemon.ts';
 
 type Operation = {
@@ -162,17 +163,33 @@
 		expected: string,
 	) {
 		const length = Buffer.byteLength(expected);
-		const bytes = await daemon.host!.readHistory(groupId, 0, length);
+		const floor = floorOf(daemon.machines.get(groupId)!.operations);
 		const status = daemon
 			.host!.status()
 			.find((group) => group.groupId === groupId);
+		const kept = Buffer.from(expected).subarray(floor).toString();
 		if (
 			status?.historyBytes !== length ||
-			Buffer.from(bytes).toString() !== expected
+			(await this.#readHistory(groupId, daemon, floor, length)) !== kept
 		) {
 			this.#events.fail(
 				`the history of ${groupId} at ${daemon.id} differs from its log`,
 			);
 		}
 	}
+
+	/** Text between two offsets, or the error of reading it. */
+	async #readHistory(
+		groupId: GroupId,
+		daemon: SimulatedDaemon,
+		start: number,
+		end: number,
+	) {
+		try {
+			const bytes = await daemon.host!.readHistory(groupId, start, end - start);
+			return Buffer.from(bytes).toString();
+		} catch (error) {
+			return String(error);
+		}
+	}
 }
--- a/packages/soak/src/consensus/simulated-daemon.ts
+++ b/packages/soak/src/consensus/simulated-daemon.ts
@@ -55,6 +55,8 @@
 	step?: typeof stepRaft;
 	isSyncSkipped?: (file: string) => boolean;
 	createDiskId?: (daemonId: string) => string;
+	/** First offset of the history that a machine says it needs. */
+	findFloor?: (operations: readonly string[]) => number;
 };
 
 /** A VM with a disk, a clock and a process that can die, freeze and lose its disk. */
@@ -150,7 +152,7 @@
 				}
 			});
 			for (const groupId of this.#surroundings.groupIds) {
-				const machine = new ListMachine();
+				const machine = new ListMachine(this.#surroundings.findFloor);
 				machines.set(groupId, machine);
 				await host.addGroup(
 					groupId,
@@ -255,6 +257,7 @@
 			// About 20 entries over all groups, so that replicas that are behind need snapshots.
 			logMemorySizeBytes: 5000,
 			segmentSizeBytes: 16_384,
+			historySegmentSizeBytes: 100,
 			onFatal: (error) => {
 				if (process === this.#process) {
 					this.#surroundings.onFatal(this, error);
--- a/packages/soak/src/measure-consensus.ts
+++ b/packages/soak/src/measure-consensus.ts
@@ -170,6 +170,8 @@
 		},
 		snapshotEveryEntries: 1_000_000,
 		snapshotEveryBytes: 1_000_000_000,
+		// All entries are to stay in memory.
+		logMemorySizeBytes: 1_000_000_000,
 	});
 	await host.addGroup(groupId, new NullMachine(), [{daemonId}]);
 	return host;
--- a/packages/storage/src/history-stream.ts
+++ b/packages/storage/src/history-stream.ts
@@ -1,5 +1,9 @@
 import path from 'node:path';
-import {DataCorruptionError, ValidationError} from '@marjoramcove/errors';
+import {
+	assertInvariant,
+	DataCorruptionError,
+	ValidationError,
+} from '@marjoramcove/errors';
 import {type FileSystem, isDiskFull, type OpenFile} from './file-system.ts';
 
 /** Settings of a {@link HistoryStream}. */
@@ -10,6 +14,8 @@
 	waitForSpace?: () => Promise<void>;
 	/** Called when a write in the background failed; the stream is unusable afterwards. */
 	onFailure?: (error: unknown) => void;
+	/** First offset that anything refers to; segments that end before it are deleted. Default 0. */
+	startOffset?: number;
 };
 
 type Segment = {start: number; file: OpenFile};
@@ -51,28 +57,36 @@
 		options: HistoryStreamOptions = {},
 	): Promise<HistoryStream> {
 		await fileSystem.makeFolder(folder);
+		const {startOffset = 0} = options;
+		const names = await fileSystem.list(folder);
+		const starts = names
+			.map((name) => Number(SEGMENT_PATTERN.exec(name)?.[1]))
+			.filter((start) => Number.isSafeInteger(start));
+		const first = starts.findLast((start) => start <= startOffset) ?? 0;
 		const segments: Segment[] = [];
-		let end = 0;
-		for (const name of await fileSystem.list(folder)) {
-			const match = SEGMENT_PATTERN.exec(name);
-			if (!match) {
+		let end = first;
+		for (const start of starts) {
+			const file = path.join(folder, segmentName(start));
+			// Before `first` are segments whose deletion a crash has undone. A gap later on comes from a
+			// segment that was not synced; what follows it is lost too.
+			if (start < first || start !== end) {
+				await fileSystem.remove(file);
 				continue;
 			}
 
-			const start = Number(match[1]);
-			const previous = segments.at(-1);
-			if (previous && start !== end) {
-				// A crash can lose the end of a segment that was not synced; what follows it is lost too.
-				await fileSystem.remove(path.join(folder, name));
-				continue;
-			}
-
-			const file = await fileSystem.open(path.join(folder, name));
-			segments.push({start, file});
-			end = start + (await file.size());
+			const opened = await fileSystem.open(file);
+			segments.push({start, file: opened});
+			end = start + (await opened.size());
 		}
 
-		return new HistoryStream({fileSystem, folder, segments, end}, options);
+		const stream = new HistoryStream(
+			{fileSystem, folder, segments, end},
+			options,
+		);
+		// The copy of a snapshot can begin after everything that this replica had.
+		stream.skipTo(startOffset);
+		await stream.deleteBefore(startOffset);
+		return stream;
 	}
 
 	readonly #fileSystem: FileSystem;
@@ -89,6 +103,9 @@
 	#writing: Promise<void> | undefined;
 	#failure: unknown;
 	#isClosed = false;
+	/** Whether the next byte does not follow the last segment. */
+	#isAfterGap = false;
+	#reclaimedBytes = 0;
 
 	private constructor(
 		opened: {
@@ -114,6 +131,16 @@
 		return this.#lengthBytes;
 	}
 
+	/** First logical offset that is stored. */
+	get startOffset(): number {
+		return this.#segments[0]?.start ?? this.#writtenBytes;
+	}
+
+	/** Bytes of deleted segments since the stream was opened. */
+	get reclaimedBytes(): number {
+		return this.#reclaimedBytes;
+	}
+
 	/** Appends bytes and returns their logical offset. The caller must not change them afterwards. */
 	append(bytes: Uint8Array): number {
 		const offset = this.#lengthBytes;
@@ -148,12 +175,12 @@
 	 */
 	async read(offset: number, lengthBytes: number): Promise<Uint8Array> {
 		if (
-			offset < 0 ||
+			offset < this.startOffset ||
 			lengthBytes < 0 ||
 			offset + lengthBytes > this.#lengthBytes
 		) {
 			throw new ValidationError(
-				`The range ${offset}+${lengthBytes} is outside of the history of ${this.#lengthBytes} bytes.`,
+				`The range ${offset}+${lengthBytes} is outside of the history from ${this.startOffset} to ${this.#lengthBytes}.`,
 				'Read a range that the history entries name.',
 			);
 		}
@@ -192,7 +219,12 @@
 		while (this.#segments.length > 0) {
 			const last = this.#segments.at(-1)!;
 			if (last.start < lengthBytes) {
-				await last.file.truncate(lengthBytes - last.start);
+				const sizeBytes = await last.file.size();
+				if (last.start + sizeBytes > lengthBytes) {
+					await last.file.truncate(lengthBytes - last.start);
+				}
+
+				this.#isAfterGap = last.start + sizeBytes < lengthBytes;
 				this.#unsynced.add(last.file);
 				break;
 			}
@@ -210,6 +242,48 @@
 		this.#writtenBytes = lengthBytes;
 	}
 
+	/** Waits until all bytes appended so far are handed to the file system. */
+	async flush(): Promise<void> {
+		await this.#flush();
+	}
+
+	/**
+	 * Continues at a later offset; the bytes before it are never stored here. All bytes appended so far
+	 * must have been flushed.
+	 */
+	skipTo(offset: number): void {
+		assertInvariant(
+			this.#lengthBytes === this.#writtenBytes,
+			'history-flushed-before-skip',
+			{offset},
+		);
+		if (offset > this.#lengthBytes) {
+			this.#lengthBytes = offset;
+			this.#writtenBytes = offset;
+			this.#isAfterGap = true;
+		}
+	}
+
+	/** Deletes the segments that end at or before the offset; the last one stays unless it is passed. */
+	async deleteBefore(offset: number): Promise<void> {
+		await this.#flush();
+		let isDeleted = false;
+		while (this.#segments.length > 0 && this.#endOfFirst() <= offset) {
+			const {start, file} = this.#segments.shift()!;
+			this.#unsynced.delete(file);
+			this.#reclaimedBytes += await file.size();
+			await file.close();
+			await this.#fileSystem.remove(
+				path.join(this.#folder, segmentName(start)),
+			);
+			isDeleted = true;
+		}
+
+		if (isDeleted) {
+			await this.#fileSystem.syncFolder(this.#folder);
+		}
+	}
+
 	/** Writes what is buffered and closes the files. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
@@ -231,6 +305,14 @@
 		}
 	}
 
+	/** Offset at which the first segment ends for good; the last one may still grow. */
+	#endOfFirst(): number {
+		const isOpen = this.#segments.length === 1 && !this.#isAfterGap;
+		return isOpen
+			? Number.POSITIVE_INFINITY
+			: (this.#segments[1]?.start ?? this.#writtenBytes);
+	}
+
 	async #readPart(position: number, end: number) {
 		const segment = this.#segments.findLast(({start}) => start <= position)!;
 		const next = this.#segments.find(({start}) => start > position);
@@ -287,7 +369,11 @@
 
 	async #openSegment() {
 		const last = this.#segments.at(-1);
-		if (last && this.#writtenBytes - last.start < this.#segmentSizeBytes) {
+		if (
+			last &&
+			!this.#isAfterGap &&
+			this.#writtenBytes - last.start < this.#segmentSizeBytes
+		) {
 			return last;
 		}
 
@@ -298,6 +384,7 @@
 		await this.#fileSystem.syncFolder(this.#folder);
 		const segment = {start, file};
 		this.#segments.push(segment);
+		this.#isAfterGap = false;
 		return segment;
 	}
 }
