--- a/packages/programs/src/byte-writer.ts
+++ b/packages/programs/src/byte-writer.ts
@@ -1,5 +1,11 @@
 /** Bytes that a writer starts with; it grows when a row needs more. */
 const INITIAL_BYTES = 16 * 1024;
+/** Longest text whose characters are written one by one; its length takes one byte. */
+const SHORT_TEXT = 64;
+/** V8 copies slices up to this length; a longer one would keep the whole row alive. */
+const COPIED_SLICE = 12;
+// eslint-disable-next-line no-control-regex
+const ASCII = /^[\u0000-\u007F]*$/u;
 
 /** Writes numbers and texts one after the other; one writer is used for many rows. */
 export class ByteWriter {
@@ -30,6 +36,10 @@
 
 	/** Writes a text in UTF-8 with its length. */
 	writeText(text: string): void {
+		if (text.length <= SHORT_TEXT && this.#writeShort(text)) {
+			return;
+		}
+
 		const sizeBytes = Buffer.byteLength(text);
 		this.writeNumber(sizeBytes);
 		this.#reserve(sizeBytes);
@@ -57,6 +67,24 @@
 		return bytes;
 	}
 
+	/** Writes a short text without a call of the Buffer; false when a character is not ASCII. */
+	#writeShort(text: string): boolean {
+		this.#reserve(text.length + 1);
+		let at = this.#length;
+		this.#bytes[at++] = text.length;
+		for (let index = 0; index < text.length; index++) {
+			const code = text.codePointAt(index)!;
+			if (code > 127) {
+				return false;
+			}
+
+			this.#bytes[at++] = code;
+		}
+
+		this.#length = at;
+		return true;
+	}
+
 	#reserve(sizeBytes: number): void {
 		if (this.#length + sizeBytes > this.#bytes.length) {
 			const grown = Buffer.allocUnsafe(2 * (this.#bytes.length + sizeBytes));
@@ -119,7 +147,10 @@
 
 	/** The text is a copy, so that it does not keep the whole row alive. */
 	readText(): string {
-		return Buffer.from(this.readPacked(), 'latin1').toString('utf8');
+		const packed = this.readPacked();
+		return packed.length <= COPIED_SLICE && ASCII.test(packed)
+			? packed
+			: Buffer.from(packed, 'latin1').toString('utf8');
 	}
 
 	readPacked(): string {
