--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -104,7 +104,12 @@
 			programId: ProgramId;
 			reason: string;
 	  }
-	| {type: 'expire-programs'; nowMs: number}
+	| {
+			type: 'expire-programs';
+			nowMs: number;
+			/** New value of the limit `tombstoneRetentionMs`, the same on all replicas. Default: unchanged. */
+			endedProgramRetentionMs?: number;
+	  }
 	| {
 			/**
 			 * Something other than the engine of a call may hold memory for the program from now on, for
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -74,6 +74,8 @@
 	/** Tokens of exported engine memory that a daemon keeps over pauses of programs; 0 exports nothing. */
 	exportedCacheTokens: z.int().min(0).max(1_000_000_000).default(0),
 	snapshotEntries: countSchema.default(10_000),
+	/** Time for which an ended program with nothing held is kept, with its request records and its history. */
+	endedProgramRetentionMs: durationSchema.default(600_000),
 	/** Memory of the replicated logs of all groups of a daemon together. */
 	logMemorySizeBytes: sizeSchema.default(8 * 1024 * 1024),
 });
