Compute from the engine model what p95 any policy can reach

An engine must decode at a rate that follows from the load, and the rate of a batch is concave in its size, so equal constant batches have the least mean time per token. For the p95 alone, small batches go to the programs that need them, the others decode in the best batch for throughput, and the latest 5% do not count.

--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {BOUND_COLUMNS, computeLatencyBound} from './compute-latency-bound.ts';
 import {plotLatency} from './plot-latency.ts';
 import {formatMarkdown, formatTable} from './print-table.ts';
 import {readArguments, type ScenarioName} from './read-arguments.ts';
@@ -76,6 +77,13 @@
 			return runScenario(adaptScenario(PIATOTHIKI, options), options);
 		}
 
+		case 'bound': {
+			return computeLatencyBound(
+				adaptScenario(BARAMYEON, options),
+				options.seed,
+			);
+		}
+
 		case 'failures': {
 			return runFailures(BARAMYEON, options);
 		}
@@ -91,6 +99,7 @@
 };
 
 const SPECIAL_COLUMNS: Partial<Record<ScenarioName, string[]>> = {
+	bound: BOUND_COLUMNS,
 	target: TARGET_COLUMNS,
 	failures: FAILURE_COLUMNS,
 	control: CONTROL_COLUMNS,
--- a/packages/measure/src/read-arguments.ts
+++ b/packages/measure/src/read-arguments.ts
@@ -4,6 +4,7 @@
 const SCENARIOS = [
 	'baramyeon',
 	'piatothiki',
+	'bound',
 	'failures',
 	'target',
 	'control',
