Use one function for the latency of a chain without waiting

The bound on the p95 had its own copy of the walk over a chain that `readLowerBoundMs` made. `readChainLatencyMs` takes the times of the steps and serves both.

--- a/packages/measure/src/compute-latency-bound.ts
+++ b/packages/measure/src/compute-latency-bound.ts
@@ -2,7 +2,7 @@
 import {readQuantile} from './figures.ts';
 import type {Row} from './row.ts';
 import type {Scenario} from './scenarios.ts';
-import {type Chain, drawWorkload} from './workload.ts';
+import {type Chain, drawWorkload, readChainLatencyMs} from './workload.ts';
 
 /** Share of the programs that may be as late as they like without a change of the p95. */
 const EXEMPT_SHARE = 0.05;
@@ -45,27 +45,18 @@
 	return high;
 };
 
-/** Latency of a chain whose tokens all take `tokenMs` and whose calls never wait. */
+/** Latency of a chain that decodes in batches of one size. */
 const readLatencyMs = (
 	chain: Chain,
-	scenario: Scenario,
-	tokenMs: number,
-	prefillStretch: number,
-): number => {
-	const {model, callerDelayMs} = scenario;
-	const read = (current: Chain): number =>
-		current.turns.reduce(
-			(sum, turn, index) =>
-				sum +
-				2 * callerDelayMs +
-				turn.newTokens * model.prefillMsPerToken * prefillStretch +
-				turn.completionTokens * tokenMs +
-				Math.max(0, ...turn.subAgents.map((sub) => read(sub))) +
-				(index === current.turns.length - 1 ? 0 : turn.pauseMs),
-			0,
-		);
-	return read(chain);
-};
+	{model, callerDelayMs}: Scenario,
+	batch: number,
+	stretch: Stretch,
+): number =>
+	readChainLatencyMs(chain, {
+		callerDelayMs,
+		prefillMsPerToken: model.prefillMsPerToken * stretch.prefill,
+		completionMsPerToken: readStepMs(model, batch) * stretch.decode,
+	});
 
 const sumTurns = (
 	chain: Chain,
@@ -94,10 +85,8 @@
 	stretch: Stretch,
 ): number => {
 	const {model} = scenario;
-	const isLate = (batch: number) => {
-		const tokenMs = readStepMs(model, batch) * stretch.decode;
-		return readLatencyMs(chain, scenario, tokenMs, stretch.prefill) > targetMs;
-	};
+	const isLate = (batch: number) =>
+		readLatencyMs(chain, scenario, batch, stretch) > targetMs;
 
 	const best = readBestBatch(model);
 	if (!isLate(best)) {
@@ -171,9 +160,8 @@
 	batch: number,
 	stretch: Stretch,
 ): number | null => {
-	const tokenMs = readStepMs(scenario.model, batch) * stretch.decode;
 	const latencies = demands
-		.map(({chain}) => readLatencyMs(chain, scenario, tokenMs, stretch.prefill))
+		.map(({chain}) => readLatencyMs(chain, scenario, batch, stretch))
 		.sort((left, right) => left - right);
 	return readQuantile(latencies, 1 - EXEMPT_SHARE);
 };
--- a/packages/measure/src/workload.ts
+++ b/packages/measure/src/workload.ts
@@ -81,23 +81,25 @@
 	),
 });
 
-/** Latency of a chain on an idle fleet with perfect caching. */
-export const readLowerBoundMs = (
-	chain: Chain,
-	model: EngineModel,
-	callerDelayMs: number,
-): number => {
+/** Times of the steps of a chain whose calls never wait, with perfect caching. */
+export type ChainTimes = {
+	callerDelayMs: number;
+	prefillMsPerToken: number;
+	completionMsPerToken: number;
+};
+
+/** Latency of a chain whose calls never wait, with perfect caching. */
+export const readChainLatencyMs = (chain: Chain, times: ChainTimes): number => {
+	const {callerDelayMs, prefillMsPerToken, completionMsPerToken} = times;
 	let totalMs = 0;
 	for (const [index, turn] of chain.turns.entries()) {
 		totalMs +=
 			2 * callerDelayMs +
-			turn.newTokens * model.prefillMsPerToken +
-			turn.completionTokens * readStepMs(model, 1) +
+			turn.newTokens * prefillMsPerToken +
+			turn.completionTokens * completionMsPerToken +
 			Math.max(
 				0,
-				...turn.subAgents.map((sub) =>
-					readLowerBoundMs(sub, model, callerDelayMs),
-				),
+				...turn.subAgents.map((sub) => readChainLatencyMs(sub, times)),
 			);
 		totalMs += index === chain.turns.length - 1 ? 0 : turn.pauseMs;
 	}
@@ -163,7 +165,11 @@
 			bellMs,
 			arrivalMs + draws.logNormal(agent.patienceMs, 0.3),
 		),
-		lowerBoundMs: readLowerBoundMs(chain, options.model, options.callerDelayMs),
+		lowerBoundMs: readChainLatencyMs(chain, {
+			callerDelayMs: options.callerDelayMs,
+			prefillMsPerToken: options.model.prefillMsPerToken,
+			completionMsPerToken: readStepMs(options.model, 1),
+		}),
 		measured: arrivalMs >= warmUpMs,
 		chain,
 	};
