Order the incarnations of a daemon by their start

Cause: the new model of rosters found that a late heartbeat of an earlier incarnation could replace a running one in the roster of a registrar; when the running one was silent for the member timeout, the leader then treated it as an earlier incarnation until its term ended, so a live daemon stayed lost. Ruled out: forgetting earlier incarnations sooner, because a late report would then revive one.

--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -63,3 +63,29 @@
 	a.address === b.address &&
 	a.peerAddress === b.peerAddress &&
 	a.phase === b.phase;
+
+/**
+ * Whether a report is of an earlier incarnation than the known one. The wall clock at the start orders
+ * them, because registrars may report them in any order. While the known incarnation is silent, the
+ * clock alone does not exclude a report: it may have been set back before a restart.
+ */
+export const isOfEarlierIncarnation = (
+	known: {
+		report: MemberReport;
+		live: boolean;
+		pastIncarnations: readonly IncarnationId[];
+	},
+	report: MemberReport,
+): boolean => {
+	if (report.incarnation === known.report.incarnation) {
+		return false;
+	}
+
+	const isPast = known.pastIncarnations.includes(report.incarnation);
+	const knownStartMs = known.report.startedAtMs;
+	if (report.startedAtMs === undefined || knownStartMs === undefined) {
+		return isPast;
+	}
+
+	return report.startedAtMs < knownStartMs && (known.live || isPast);
+};
--- a/packages/membership/src/roster.ts
+++ b/packages/membership/src/roster.ts
@@ -1,6 +1,10 @@
 import type {DaemonId, IncarnationId} from '@marjoramcove/types';
 import {hashText} from './hash.ts';
-import {isSameMember, type MemberReport} from './members.ts';
+import {
+	isOfEarlierIncarnation,
+	isSameMember,
+	type MemberReport,
+} from './members.ts';
 
 /** Trouble of an upstream as a dispatcher reports it; opaque to this package. */
 export type Notice = Record<string, unknown>;
@@ -74,7 +78,7 @@
 	const isRestarted = known && known.report.incarnation !== report.incarnation;
 	if (
 		known &&
-		(known.pastIncarnations.includes(report.incarnation) ||
+		(isOfEarlierIncarnation({...known, live: true}, report) ||
 			(!isRestarted && sequence <= known.lastSequence))
 	) {
 		return false;
@@ -99,9 +103,9 @@
 		lastHeardMs: nowMs,
 		changedAt: roster.version,
 		pastIncarnations: isRestarted
-			? [...known.pastIncarnations, known.report.incarnation].slice(
-					-KEPT_INCARNATIONS,
-				)
+			? [...known.pastIncarnations, known.report.incarnation]
+					.filter((past) => past !== report.incarnation)
+					.slice(-KEPT_INCARNATIONS)
 			: (known?.pastIncarnations ?? []),
 	});
 	return true;
--- a/packages/membership/src/step-members.ts
+++ b/packages/membership/src/step-members.ts
@@ -1,5 +1,9 @@
 import type {DaemonId, IncarnationId} from '@marjoramcove/types';
-import {isSameMember, type MemberRecord, type MemberReport} from './members.ts';
+import {
+	isOfEarlierIncarnation,
+	isSameMember,
+	type MemberRecord,
+} from './members.ts';
 import {
 	KEPT_REMOVALS,
 	type MembershipAction,
@@ -17,24 +21,11 @@
 	record.changedAt = state.version;
 };
 
-/**
- * Whether a report is of an incarnation that began before the live one. After a leader change the
- * registrars may report both in any order. A silent record is always replaced, because the wall clock
- * of a VM may have been set back.
- */
-const isEarlier = (record: MemberRecord, report: MemberReport): boolean =>
-	record.live &&
-	report.incarnation !== record.report.incarnation &&
-	report.startedAtMs !== undefined &&
-	record.report.startedAtMs !== undefined &&
-	report.startedAtMs < record.report.startedAtMs;
-
 const isStale = (
 	record: MemberRecord,
 	{report, sequence}: Heartbeat,
 ): boolean =>
-	isEarlier(record, report) ||
-	record.pastIncarnations.includes(report.incarnation) ||
+	isOfEarlierIncarnation(record, report) ||
 	(report.incarnation === record.report.incarnation &&
 		sequence <= record.sequence);
 
@@ -48,9 +39,9 @@
 		return [];
 	}
 
-	record.pastIncarnations = [...record.pastIncarnations, previous].slice(
-		-KEPT_INCARNATIONS,
-	);
+	record.pastIncarnations = [...record.pastIncarnations, previous]
+		.filter((past) => past !== incarnation)
+		.slice(-KEPT_INCARNATIONS);
 	return record.live
 		? [
 				{
