Send a new heartbeat to the next registrar after a failure

Cause: a heartbeat that failed was sent with the same sequence number to the next registrar. When the first one had registered it before it died, the leader could not see that the daemon had moved and would count it as lost although the second registrar heard it. Ruled out: letting the later report win at the leader, because reports of two registrars may arrive in any order. Conclusion: each attempt has its own number and its own send time, which also gives a longer lease.

--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	ConfigurationView,
 	createLeaseState,
@@ -53,6 +52,9 @@
 	#lease: LeaseState = createLeaseState();
 	#timers: NodeJS.Timeout[] = [];
 	#inFlight = 0;
+	/** Heartbeats that failed since the last answer. */
+	#failures = 0;
+	#retryTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 
 	constructor(context: DaemonContext) {
@@ -92,6 +94,7 @@
 	}
 
 	override async stop() {
+		clearTimeout(this.#retryTimer);
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -174,22 +177,51 @@
 	}
 
 	async #sendHeartbeat(sequence: number, appliedRevision: number) {
+		const registrarId = this.#registrars.choose(
+			this.members,
+			performance.now(),
+		);
 		this.#inFlight++;
 		try {
-			const answer = await this.#askRegistrar(
+			const answer = await this.#peers.call<HeartbeatAnswer>(
+				registrarId,
+				'config.heartbeat',
 				this.#describeHeartbeat(sequence, appliedRevision),
+				{timeoutMs: this.#attemptTimeoutMs, channel: 'control'},
 			);
+			this.#failures = 0;
 			this.#takeAnswer(sequence, answer);
 		} catch (error) {
 			this.#context.retries.increment({
 				step: 'heartbeat',
 				reason: reasonOf(error),
 			});
+			this.#tryAnother(registrarId);
 		} finally {
 			this.#inFlight--;
 		}
 	}
 
+	get #attemptTimeoutMs(): number {
+		return Math.max(this.#context.settings.timing.heartbeatMs, 500);
+	}
+
+	/**
+	 * Sends a new heartbeat to another registrar shortly. It has its own sequence number, by which the
+	 * leader sees which registrar heard this daemon last.
+	 */
+	#tryAnother(failedId: DaemonId): void {
+		const {heartbeatMs} = this.#context.settings.timing;
+		this.#registrars.avoid(failedId, performance.now() + 5 * heartbeatMs);
+		this.#retryTimer ??= setTimeout(
+			() => {
+				this.#retryTimer = undefined;
+				this.heartbeat();
+			},
+			backoffDelay(this.#failures++, backoff, Math.random()),
+		);
+	}
+
 	#describeHeartbeat(sequence: number, appliedRevision: number) {
 		const {settings, incarnation, startedAtMs, phase} = this.#context;
 		const {epoch, version} = this.#membership;
@@ -214,42 +246,6 @@
 		};
 	}
 
-	/**
-	 * Sends a heartbeat to the chosen registrar and, when it fails, to the next one. The lease counts
-	 * from the first attempt.
-	 */
-	async #askRegistrar(heartbeat: unknown): Promise<HeartbeatAnswer> {
-		const {heartbeatMs, configurationLeaseMs} = this.#context.settings.timing;
-		const deadlineMs = performance.now() + configurationLeaseMs / 2;
-		for (let attempt = 0; ; attempt++) {
-			const registrarId = this.#registrars.choose(
-				this.members,
-				performance.now(),
-			);
-			try {
-				return await this.#peers.call<HeartbeatAnswer>(
-					registrarId,
-					'config.heartbeat',
-					heartbeat,
-					{timeoutMs: Math.max(heartbeatMs, 500), channel: 'control'},
-				);
-			} catch (error) {
-				const delayMs = backoffDelay(attempt, backoff, Math.random());
-				const nowMs = performance.now();
-				this.#registrars.avoid(registrarId, nowMs + 5 * heartbeatMs);
-				if (nowMs + delayMs >= deadlineMs) {
-					throw error;
-				}
-
-				this.#context.retries.increment({
-					step: 'config.heartbeat',
-					reason: reasonOf(error),
-				});
-				await sleep(delayMs);
-			}
-		}
-	}
-
 	#takeAnswer(sequence: number, answer: HeartbeatAnswer): void {
 		try {
 			if (answer.update && this.view.applyUpdate(answer.update) === 'applied') {
