Run the model of registrar leases in soak

Cause: the model ran only with the fixed seed of its test. Conclusion: the scenario registrar-lease is part of npm run soak; faults that random choices rarely show stay with the fixed sequences of the test.

--- a/packages/soak/src/scenarios/index.ts
+++ b/packages/soak/src/scenarios/index.ts
@@ -7,6 +7,7 @@
 	leaseScenario,
 	programsScenario,
 } from './machines.ts';
+import {registrarLeaseScenario} from './registrar-lease.ts';
 
 /** All scenarios; a new one is registered here. */
 export const SCENARIOS: readonly Scenario[] = [
@@ -15,5 +16,6 @@
 	engineMemoryScenario,
 	configurationScenario,
 	leaseScenario,
+	registrarLeaseScenario,
 	fencingScenario,
 ];
--- a/packages/soak/src/scenarios/machines.test.ts
+++ b/packages/soak/src/scenarios/machines.test.ts
@@ -7,6 +7,7 @@
 	leaseScenario,
 	programsScenario,
 } from './machines.ts';
+import {registrarLeaseScenario} from './registrar-lease.ts';
 
 /** Rounds of 100 models in which a fault must show. */
 const FAULT_ROUNDS = 3;
@@ -16,6 +17,7 @@
 	engineMemoryScenario,
 	configurationScenario,
 	leaseScenario,
+	registrarLeaseScenario,
 	fencingScenario,
 ])('scenario $name', (scenario) => {
 	it('passes a round (failure: a machine breaks an invariant)', async () => {
--- a/packages/soak/src/scenarios/machines.ts
+++ b/packages/soak/src/scenarios/machines.ts
@@ -33,7 +33,8 @@
 	luck: random.integer(0, 99),
 });
 
-const createList = <Item>(
+/** Draws a list of up to `max` items. */
+export const createList = <Item>(
 	random: RandomSource,
 	max: number,
 	create: (random: RandomSource) => Item,
@@ -41,7 +42,7 @@
 	Array.from({length: random.integer(max / 4, max)}, () => create(random));
 
 /** Runs the models of one round; stops at the first problem. */
-const runModels = (
+export const runModels = (
 	seed: number,
 	runModel: (random: RandomSource) => {steps: number; problems: string[]},
 ): RoundSummary => {
--- /dev/null
+++ b/packages/soak/src/scenarios/registrar-lease.ts
@@ -0,0 +1,57 @@
+import {
+	type RegistrarLeaseChoice,
+	RegistrarLeaseModel,
+} from '../models/registrar-lease-model.ts';
+import {
+	REGISTRAR_LEASE_FAULTS,
+	type RegistrarLeaseFault,
+} from '../models/registrar-lease-parts.ts';
+import {runChecked} from '../models/run-checked.ts';
+import type {Scenario} from '../scenario.ts';
+import {createList, runModels} from './machines.ts';
+
+const EVENTS: ReadonlyArray<RegistrarLeaseChoice['event']> = [
+	'commit',
+	'commit',
+	'commit',
+	'commit',
+	'freeze',
+	'suspend',
+	'cut',
+	'heal',
+	'heal',
+	'move',
+	'join',
+	'restart-registrar',
+	'new-leader',
+];
+
+/** Random choices rarely show these faults; tests of the model have fixed ones. */
+const RARE_FAULTS: ReadonlySet<RegistrarLeaseFault> = new Set([
+	'no-drift-allowance',
+	'ignore-registrars',
+	'grant-before-registering',
+]);
+
+/** Configuration leases through registrars: partitions, freezes, restarts, moves, new leaders. */
+export const registrarLeaseScenario: Scenario = {
+	name: 'registrar-lease',
+	faults: REGISTRAR_LEASE_FAULTS.filter((fault) => !RARE_FAULTS.has(fault)),
+	async runRound({seed, fault}) {
+		return runModels(seed, (random) => {
+			const choices = createList(
+				random,
+				3000,
+				(source): RegistrarLeaseChoice => ({
+					event: source.chance(0.08) ? source.pick(EVENTS) : 'none',
+					pick: source.integer(0, 99),
+					luck: source.integer(0, 99),
+				}),
+			);
+			const model = new RegistrarLeaseModel(
+				fault as RegistrarLeaseFault | undefined,
+			);
+			return {steps: choices.length, problems: runChecked(model, choices)};
+		});
+	},
+};
