--- a/packages/programs/src/renew-hold.ts
+++ b/packages/programs/src/renew-hold.ts
@@ -42,7 +42,7 @@
 	{state}: StepContext,
 	{programId, upstreamId}: CommandOf<'record-hold'>,
 ): ProgramResult => {
-	const program = state.programs.get(programId);
+	const program = state.programs.edit(programId);
 	if (!program) {
 		return refuseUnknown(programId);
 	}
