Answer may-have-run for a program without a record

Cause: the record of an ended program is removed after its retention. A resent call of it was then refused as program-unknown with the verdict not-run, although it may have run before the end.

Now: a well-formed id without a record gives may-have-run; an id that no program of the cluster can have stays not-run.

Ruled out: keeping a mark for each removed program; memory would grow without bound.

After: `npx vitest run packages/integration/src/bad-input` passes with a new test; the tests of malformed ids are unchanged.

--- a/packages/daemon/src/entry/entry-core.ts
+++ b/packages/daemon/src/entry/entry-core.ts
@@ -26,6 +26,9 @@
 	operationId?: string;
 };
 
+/** Shard and 96 bits of a digest; see {@link EntryCore.openProgram}. */
+const programIdPattern = /^p\d+-[\da-f]{24}$/v;
+
 /** Services that all routes of the HTTP API share. */
 export class EntryCore {
 	readonly context: DaemonContext;
@@ -53,11 +56,12 @@
 	/**
 	 * Checks a program id.
 	 *
-	 * @throws RefusedError `program-unknown` when it names no shard of this cluster.
+	 * @throws RefusedError `program-unknown` when no program of this cluster can have it.
 	 */
 	programId(text: string): ProgramId {
 		const programId = asId<ProgramId>(text);
 		if (
+			!programIdPattern.test(text) ||
 			!(programOfShard(programId) < this.context.settings.cluster.shardCount)
 		) {
 			throw refusal(
--- a/packages/daemon/src/owner/owner-core.ts
+++ b/packages/daemon/src/owner/owner-core.ts
@@ -1,4 +1,4 @@
-import {type RefusedError} from '@marjoramcove/errors';
+import {MarjoramcoveError, type RefusedError} from '@marjoramcove/errors';
 import {
 	describeProgram,
 	type ProgramCommand,
@@ -85,12 +85,13 @@
 	/**
 	 * Description of an open program.
 	 *
-	 * @throws RefusedError when the program is unknown or has ended; the limit that ended it is the reason.
+	 * @throws RefusedError when the program has ended; the limit that ended it is the reason.
+	 * @throws MarjoramcoveError `program-unknown` when there is no record of it.
 	 */
 	async openProgram(programId: ProgramId): Promise<ProgramDescription> {
 		const program = describeProgram(await this.lead(programId), programId);
 		if (!program) {
-			throw unknownProgram(programId);
+			throw forgottenProgram(programId);
 		}
 
 		const {endedReason} = program;
@@ -140,6 +141,20 @@
 	}
 }
 
+/**
+ * Error for a request to a program without a record. The program may have run the request before it
+ * ended and its record was removed, so the verdict is not `not-run`.
+ */
+const forgottenProgram = (programId: ProgramId): MarjoramcoveError =>
+	new MarjoramcoveError(
+		`No program ${programId.slice(0, 100)} is known; it never existed, or it ended longer ago than records are kept.`,
+		{
+			reason: 'program-unknown',
+			verdict: 'may-have-run',
+			hint: 'Open a program with POST /v1/programs. Check at the service whether a resent request has run.',
+		},
+	);
+
 export const unknownProgram = (programId: ProgramId): RefusedError =>
 	refusal(
 		'program-unknown',
--- a/packages/integration/src/bad-input.test.ts
+++ b/packages/integration/src/bad-input.test.ts
@@ -121,6 +121,18 @@
 		}
 	});
 
+	it('does not say not-run for a program whose record may have been removed', async () => {
+		// Guards against a caller that repeats a call which ran before its program was removed.
+		const answer = await bed
+			.caller('d4')
+			.callTool(`p0-${'0'.repeat(24)}`, 'entry-desk/charge-fee', {ref: 'old'});
+		expect(answer.status).toBe(404);
+		expect(errorOf(answer)).toMatchObject({
+			reason: 'program-unknown',
+			verdict: 'may-have-run',
+		});
+	});
+
 	it('survives a malformed stream of an engine', async () => {
 		// Guards against a crash or a half answer that is recorded as whole.
 		const programId = await bed.caller('d4').openProgram();
