Finish all calls when every daemon stops at once

Cause: a daemon with state left as soon as it had no work of its own, so the last ones had no majority left to settle the open calls, and waited for their time limit (seen: more than 18 s). A draining leader offered its groups to other draining voters again and again; it takes no proposal during an offer, so nothing settled. Two draining leaders then waited for each other without end.

Now: a draining daemon with state stays while its leaving would take the majority from a group with open calls (findNeededGroups); it waits for a successor only when a voter stays that can be one (findGroupsToHandOver); a leader offers its leadership to each voter once and then takes proposals for five election timeouts.

Ruled out: a time limit for the whole drain; it would cut off requests.

--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -10,6 +10,12 @@
 import {replicateToAll, retryReplication} from './replicate.ts';
 import type {LogEntry, Progress, RaftState, StepContext} from './raft-types.ts';
 
+/**
+ * Election timeouts for which a leader takes proposals again after no voter took over. It takes none
+ * during a transfer; when all voters drain at once, they would otherwise never settle their last calls.
+ */
+const TRANSFER_PAUSE = 5;
+
 const createProgress = (state: RaftState, nowMs: number): Progress => ({
 	mode: 'probe',
 	matchIndex: 0,
@@ -127,6 +133,17 @@
 		: heartbeatMs;
 };
 
+/** Ends a transfer whose target did not take over. */
+const giveUpTransfer = ({state, nowMs}: StepContext) => {
+	if (state.transfer && nowMs >= state.transfer.dueMs) {
+		state.failedTransfers = {
+			to: [...state.failedTransfers.to, state.transfer.to],
+			retryMs: nowMs + TRANSFER_PAUSE * state.settings.electionTimeoutMinMs,
+		};
+		state.transfer = undefined;
+	}
+};
+
 /** Periodic work of a leader. */
 export const tickLeader = (context: StepContext): void => {
 	const {state, nowMs} = context;
@@ -135,9 +152,7 @@
 		return;
 	}
 
-	if (state.transfer && nowMs >= state.transfer.dueMs) {
-		state.transfer = undefined;
-	}
+	giveUpTransfer(context);
 
 	if (nowMs >= state.heartbeatDueMs) {
 		broadcastHeartbeat(context);
--- a/packages/consensus/src/raft-state.ts
+++ b/packages/consensus/src/raft-state.ts
@@ -60,6 +60,7 @@
 	waitingReads: [],
 	pendingReads: [],
 	transfer: undefined,
+	failedTransfers: {to: [], retryMs: 0},
 	isStalled: false,
 	isFetching: false,
 	isCandidacyAllowed: true,
@@ -195,6 +196,7 @@
 	state.waitingReads = [];
 	state.pendingReads = [];
 	state.transfer = undefined;
+	state.failedTransfers = {to: [], retryMs: 0};
 	state.progress.clear();
 	state.leader = undefined;
 	state.uncommittedBytes = 0;
--- a/packages/consensus/src/raft-types.ts
+++ b/packages/consensus/src/raft-types.ts
@@ -214,6 +214,8 @@
 	waitingReads: number[];
 	pendingReads: PendingRead[];
 	transfer: {to: DiskId; dueMs: number} | undefined;
+	/** Voters that did not take over, and the time from which they are asked again. */
+	failedTransfers: {to: DiskId[]; retryMs: number};
 	isStalled: boolean;
 	/** A snapshot is being fetched; nothing may be applied, or the history would get out of order. */
 	isFetching: boolean;
--- a/packages/consensus/src/transfer.ts
+++ b/packages/consensus/src/transfer.ts
@@ -1,25 +1,36 @@
+import type {ReplicaDescriptor} from './membership.ts';
 import {currentMembership, sendMessage} from './raft-state.ts';
 import type {StepContext} from './raft-types.ts';
 
-/** Hands the leadership to the live voter that has the most entries. */
-export const startTransfer = (context: StepContext): void => {
-	const {state, nowMs} = context;
-	if (state.role !== 'leader' || state.transfer) {
-		return;
+/** Live voters that have not failed to take over, those with the most entries first. */
+const listTargets = ({state, nowMs}: StepContext): ReplicaDescriptor[] => {
+	if (nowMs >= state.failedTransfers.retryMs) {
+		state.failedTransfers.to = [];
 	}
 
-	const candidates = currentMembership(state)
+	return currentMembership(state)
 		.voters.map((voter) => ({
 			voter,
 			progress: state.progress.get(voter.diskId),
 		}))
 		.filter(
-			({progress}) =>
+			({voter, progress}) =>
 				progress &&
-				nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs,
+				nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs &&
+				!state.failedTransfers.to.includes(voter.diskId),
 		)
-		.toSorted((a, b) => b.progress!.matchIndex - a.progress!.matchIndex);
-	const target = candidates[0]?.voter;
+		.toSorted((a, b) => b.progress!.matchIndex - a.progress!.matchIndex)
+		.map(({voter}) => voter);
+};
+
+/** Hands the leadership to the live voter that has the most entries. */
+export const startTransfer = (context: StepContext): void => {
+	const {state, nowMs} = context;
+	if (state.role !== 'leader' || state.transfer) {
+		return;
+	}
+
+	const [target] = listTargets(context);
 	if (target) {
 		state.transfer = {
 			to: target.diskId,
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -13,6 +13,10 @@
 import {DispatcherService} from './services/dispatcher-service.ts';
 import {EngineControllerService} from './services/engine-controller-service.ts';
 import {EntryService} from './services/entry-service.ts';
+import {
+	findGroupsToHandOver,
+	findNeededGroups,
+} from './services/find-needed-groups.ts';
 import {GroupClientService} from './services/group-client-service.ts';
 import {OwnerService} from './services/owner-service.ts';
 import {PeerListenerService} from './services/peer-listener-service.ts';
@@ -119,12 +123,8 @@
 		let nextReportMs = startedMs + drainTimeoutMs;
 		for (;;) {
 			const nowMs = performance.now();
-			const left = {
-				requests: this.#entry.activeRequests,
-				runs: this.#dispatcher.activeRuns,
-				leads: !this.#hasHandedOver,
-			};
-			const isIdle = left.requests === 0 && left.runs === 0 && !left.leads;
+			const left = this.#countWork();
+			const isIdle = Object.values(left).every((count) => count === 0);
 			if (isIdle && nowMs >= startedMs + addressTtlMs) {
 				return;
 			}
@@ -137,6 +137,27 @@
 			await sleep(drainPollMs);
 		}
 	}
+
+	/** What this daemon must still do, or be there for, before it may leave. */
+	#countWork() {
+		const groups = this.#replication.status();
+		const {daemonId} = this.#context.settings;
+		const {readyDaemons} = this.#configuration;
+		const ledGroups = this.#hasHandedOver
+			? []
+			: findGroupsToHandOver(groups, daemonId, readyDaemons);
+		const neededGroups = findNeededGroups(groups, {
+			daemonId,
+			readyDaemons,
+			hasOpenCalls: (groupId) => this.#replication.hasOpenCalls(groupId),
+		});
+		return {
+			requests: this.#entry.activeRequests,
+			runs: this.#dispatcher.activeRuns,
+			ledGroups: ledGroups.length,
+			neededGroups: neededGroups.length,
+		};
+	}
 }
 
 /** Passes signals and unexpected errors of the process to the daemon. */
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -116,6 +116,14 @@
 		await this.#host?.drain();
 	}
 
+	/** Whether a group has calls under way, as far as this replica has applied its log. */
+	hasOpenCalls(groupId: GroupId): boolean {
+		return this.shards.some(
+			({state}, shard) =>
+				shardGroup(shard) === groupId && state.programs.openCalls.size > 0,
+		);
+	}
+
 	onApplied(listener: AppliedListener): void {
 		this.#appliedListeners.add(listener);
 	}
--- a/packages/integration/src/i9-leaving.test.ts
+++ b/packages/integration/src/i9-leaving.test.ts
@@ -136,6 +136,41 @@
 		});
 	});
 
+	it('finishes all calls when every daemon is stopped at the same time', async () => {
+		// Guards against daemons that leave while the others need them to record the answers.
+		const entries = bed.cluster.daemons.map((daemon) => daemon.daemonId);
+		bed.entryDesk.injectFault('charge-fee', {kind: 'delay', delayMs: 2000});
+		const feeProgram = await bed.caller('d6').openProgram();
+		const fee = bed
+			.caller('d6')
+			.callTool(feeProgram, 'entry-desk/charge-fee', {ref: 'last-fee'});
+		const calls = await Promise.all(
+			entries.map(async (entry) => {
+				const programId = await bed.caller(entry).openProgram();
+				return bed.caller(entry).streamModel(programId, 'Long. [tokens=600]');
+			}),
+		);
+		await waitFor('answers to begin', () =>
+			calls.every(({current}) => current.text.length > 0),
+		);
+		for (const daemon of bed.cluster.daemons) {
+			daemon.signal('SIGTERM');
+		}
+
+		const results = await Promise.all(
+			calls.map(async ({finished}) => finished),
+		);
+		expect(
+			results.filter(({complete}) => !complete).map(({error}) => error),
+		).toEqual([]);
+		expect(await fee).toMatchObject({status: 200});
+		expect(bed.entryDesk.executionsWith('ref', 'last-fee')).toBe(1);
+		const exits = await Promise.all(
+			bed.cluster.daemons.map(async (daemon) => daemon.exited()),
+		);
+		expect(exits).toEqual(exits.map(() => ({code: 0, signal: null})));
+	});
+
 	it('refuses or forwards, but never loses, what arrives during a rolling restart', async () => {
 		// Guards against a gap between the stop of one daemon and the takeover by the others.
 		const restarts = {done: false};
