Keep one setting for the retention of ended programs

Cause: the deletion of histories added limits.endedProgramRetentionMs beside timing.endedProgramRetentionMs, which meant the same.

Now: the older key is removed and is refused by name. The retention in force stays what it was.

Ruled out: keeping the older key; its value was not the one in force.

--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -309,17 +309,14 @@
 	}
 
 	async #addGroups(host: ReplicaHost): Promise<void> {
-		const {cluster, limits, timing} = this.#context.settings;
+		const {cluster, limits} = this.#context.settings;
 		const voters = cluster.peers
 			.filter((peer) => peer.state)
 			.map(({daemonId}) => ({daemonId}));
 		for (let shard = 0; shard < cluster.shardCount; shard++) {
 			const machine = new ProgramsMachine(
 				shard,
-				{
-					historySizeBytes: limits.historySizeBytes,
-					tombstoneRetentionMs: timing.endedProgramRetentionMs,
-				},
+				{historySizeBytes: limits.historySizeBytes},
 				{
 					onApplied: (...applied) => {
 						for (const listener of this.#appliedListeners) {
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -55,7 +55,6 @@
 	orderLifetimeMs: durationSchema.default(5000),
 	callerHeartbeatMs: durationSchema.default(5000),
 	openIntentSweepMs: durationSchema.default(1000),
-	endedProgramRetentionMs: durationSchema.default(3_600_000),
 });
 
 const limitsSchema = z.strictObject({
