Ask isLive for the liveness of a replica everywhere

Cause: the rule "answered within the shortest election timeout" stood in isLive and in four more places. They call isLive now; behaviour is unchanged.

--- a/packages/consensus/src/change-membership.ts
+++ b/packages/consensus/src/change-membership.ts
@@ -5,7 +5,7 @@
 	type MembershipChange,
 } from './membership.ts';
 import {appendAsLeader, trackMembers} from './lead.ts';
-import {currentMembership} from './raft-state.ts';
+import {currentMembership, isLive} from './raft-state.ts';
 import {replicateToAll} from './replicate.ts';
 import type {ProposalRefusal, RaftState, StepContext} from './raft-types.ts';
 
@@ -16,7 +16,7 @@
 	return (
 		progress !== undefined &&
 		progress.matchIndex >= state.commitIndex &&
-		nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs
+		isLive(state, progress, nowMs)
 	);
 };
 
--- a/packages/consensus/src/describe-group.ts
+++ b/packages/consensus/src/describe-group.ts
@@ -1,6 +1,6 @@
 import type {DaemonId} from '@marjoramcove/types';
 import {findReplica, isVoter, type Membership} from './membership.ts';
-import {membershipAt} from './raft-state.ts';
+import {isLive, membershipAt} from './raft-state.ts';
 import type {RaftState} from './raft-types.ts';
 import type {ReplicaGroup} from './replica-group.ts';
 import type {
@@ -32,9 +32,7 @@
 				...base,
 				matchIndex,
 				lagEntries: Math.max(0, state.log.lastIndex - matchIndex),
-				isLive:
-					!progress ||
-					nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs,
+				isLive: !progress || isLive(state, progress, nowMs),
 			};
 		},
 	);
--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -5,7 +5,12 @@
 	type ReplicaDescriptor,
 } from './membership.ts';
 import {commitByQuorum} from './commit.ts';
-import {currentMembership, noteLeader, becomeFollower} from './raft-state.ts';
+import {
+	becomeFollower,
+	currentMembership,
+	isLive,
+	noteLeader,
+} from './raft-state.ts';
 import {broadcastHeartbeat, startReadRound} from './reads.ts';
 import {replicateToAll, retryReplication} from './replicate.ts';
 import type {LogEntry, Progress, RaftState, StepContext} from './raft-types.ts';
@@ -103,10 +108,7 @@
 	let live = isVoter(membership, state.selfId) ? 1 : 0;
 	for (const voter of membership.voters) {
 		const progress = state.progress.get(voter.diskId);
-		if (
-			progress &&
-			nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs
-		) {
+		if (progress && isLive(state, progress, nowMs)) {
 			live += 1;
 		}
 	}
--- a/packages/consensus/src/transfer.ts
+++ b/packages/consensus/src/transfer.ts
@@ -1,5 +1,5 @@
 import type {ReplicaDescriptor} from './membership.ts';
-import {currentMembership, sendMessage} from './raft-state.ts';
+import {currentMembership, isLive, sendMessage} from './raft-state.ts';
 import type {StepContext} from './raft-types.ts';
 
 /** Live voters that have not failed to take over, those with the most entries first. */
@@ -16,7 +16,7 @@
 		.filter(
 			({voter, progress}) =>
 				progress &&
-				nowMs - progress.lastContactMs < state.settings.electionTimeoutMinMs &&
+				isLive(state, progress, nowMs) &&
 				!state.failedTransfers.to.includes(voter.diskId),
 		)
 		.toSorted((a, b) => b.progress!.matchIndex - a.progress!.matchIndex)
