Create opened and abandoned programs from one empty program

Cause: two object literals listed all 27 fields of a program; a new field had to be added to both, as entryCount and entriesEnd were. Behaviour is unchanged.

--- a/packages/programs/src/open-program.ts
+++ b/packages/programs/src/open-program.ts
@@ -4,7 +4,7 @@
 import {programOfShard} from './program-id.ts';
 import type {ProgramResult} from './results.ts';
 import {shareText} from './share-text.ts';
-import {type Program, readBudget} from './state.ts';
+import {createEmptyProgram, type Program, readBudget} from './state.ts';
 import {type CommandOf, refuse, type StepContext} from './step-context.ts';
 
 /** Canonical JSON of labels: the order of the keys does not matter. */
@@ -43,36 +43,18 @@
 	command: CommandOf<'open-program'>,
 	nowMs: number,
 ): Program => ({
-	id: command.programId,
+	...createEmptyProgram(command.programId),
 	callerId: shareText(command.callerId),
 	labels: shareText(encodeLabels(command.labels)),
 	parentId: command.parentId,
 	openHash: hashOpenCommand(command),
 	operationKey: operationKeyOf(command),
 	tokenLimit: command.budget.tokens,
-	spentTokens: 0,
-	carvedTokens: 0,
 	turnLimit: command.budget.turns,
-	spentTurns: 0,
-	carvedTurns: 0,
 	deadlineMs: Math.min(
 		nowMs + command.budget.wallTimeMs,
 		command.deadlineMs ?? Number.MAX_SAFE_INTEGER,
 	),
-	nextTurn: 1,
-	historyBytes: 0,
-	cachedTokens: 0,
-	records: '',
-	forgotten: '',
-	entries: '',
-	entryCount: 0,
-	entriesEnd: 0,
-	call: undefined,
-	holds: [],
-	carves: undefined,
-	endedReason: undefined,
-	endedAtMs: undefined,
-	returnPending: undefined,
 });
 
 /** Key under which the operation of a caller is known. */
--- a/packages/programs/src/release.ts
+++ b/packages/programs/src/release.ts
@@ -1,5 +1,5 @@
-import type {CallerId} from '@marjoramcove/types';
 import type {ProgramResult} from './results.ts';
+import {createEmptyProgram} from './state.ts';
 import {type CommandOf, refuse, type StepContext} from './step-context.ts';
 
 /**
@@ -66,30 +66,9 @@
 	}
 
 	state.programs.add({
-		id: command.programId,
-		callerId: '' as CallerId,
-		labels: '{}',
+		...createEmptyProgram(command.programId),
 		parentId: command.parentId,
-		openHash: 0,
-		operationKey: undefined,
-		tokenLimit: 0,
-		spentTokens: 0,
-		carvedTokens: 0,
-		turnLimit: 0,
-		spentTurns: 0,
-		carvedTurns: 0,
 		deadlineMs: nowMs,
-		nextTurn: 1,
-		historyBytes: 0,
-		cachedTokens: 0,
-		records: '',
-		forgotten: '',
-		entries: '',
-		entryCount: 0,
-		entriesEnd: 0,
-		call: undefined,
-		holds: [],
-		carves: undefined,
 		endedReason: 'abandoned',
 		endedAtMs: nowMs,
 		returnPending: true,
--- a/packages/programs/src/state.ts
+++ b/packages/programs/src/state.ts
@@ -106,6 +106,37 @@
 	returnPending?: boolean;
 };
 
+/** A program without a budget, a call or a history; all optional fields are present, so that all programs have one shape. */
+export const createEmptyProgram = (id: ProgramId): Program => ({
+	id,
+	callerId: '' as CallerId,
+	labels: '{}',
+	parentId: undefined,
+	openHash: 0,
+	operationKey: undefined,
+	tokenLimit: 0,
+	spentTokens: 0,
+	carvedTokens: 0,
+	turnLimit: 0,
+	spentTurns: 0,
+	carvedTurns: 0,
+	deadlineMs: 0,
+	nextTurn: 1,
+	historyBytes: 0,
+	cachedTokens: 0,
+	records: '',
+	forgotten: '',
+	entries: '',
+	entryCount: 0,
+	entriesEnd: 0,
+	call: undefined,
+	holds: [],
+	carves: undefined,
+	endedReason: undefined,
+	endedAtMs: undefined,
+	returnPending: undefined,
+});
+
 /** Whether an ended program still has something that another process must confirm. */
 export const isHolding = (program: Program): boolean =>
 	program.holds.length > 0 ||
