Compute the suspended time of a VM in one place

Cause: the leases of daemons and of registrars each computed the time for which the VM was suspended from the two clocks. Behaviour is unchanged.

--- a/packages/configuration/src/lease.ts
+++ b/packages/configuration/src/lease.ts
@@ -1,6 +1,7 @@
 import {assertInvariant} from '@marjoramcove/errors';
 import {MAX_CLOCK_DRIFT} from '@marjoramcove/types';
 import type {ConfigurationDigest} from './commands.ts';
+import {suspendedSince} from './suspended-since.ts';
 
 /** Settings of the lease. */
 export type LeaseSettings = {
@@ -73,19 +74,6 @@
 	suspendedMs: 0,
 });
 
-/**
- * Time for which the VM was suspended since the last tick. A step of the wall clock forward counts as
- * well and only shortens the lease; a step back counts as nothing.
- */
-const suspendedSince = (
-	{wallOffsetMs}: LeaseState,
-	nowMs: number,
-	wallMs: number | undefined,
-): number =>
-	wallMs === undefined || wallOffsetMs === undefined
-		? 0
-		: Math.max(0, wallMs - nowMs - wallOffsetMs);
-
 /**
  * Whether the daemon may take new work. A gap since the last event that counts as a freeze makes the
  * lease invalid even before the next tick is handled.
@@ -101,7 +89,10 @@
 	nowMs: number,
 	wallMs?: number,
 ): boolean => {
-	const suspendedMs = suspendedSince(state, nowMs, wallMs);
+	const suspendedMs =
+		wallMs === undefined
+			? 0
+			: suspendedSince(state.wallOffsetMs, nowMs, wallMs);
 	const elapsedMs = nowMs + state.suspendedMs + suspendedMs;
 	return (
 		elapsedMs < state.validUntilMs &&
@@ -127,7 +118,7 @@
 ): number => {
 	let gapMs = nowMs - state.lastEventMs;
 	if (event.type === 'tick' && event.wallMs !== undefined) {
-		const suspendedMs = suspendedSince(state, nowMs, event.wallMs);
+		const suspendedMs = suspendedSince(state.wallOffsetMs, nowMs, event.wallMs);
 		gapMs += suspendedMs;
 		state.suspendedMs += suspendedMs;
 		state.wallOffsetMs = event.wallMs - nowMs;
--- a/packages/configuration/src/registrar-lease.ts
+++ b/packages/configuration/src/registrar-lease.ts
@@ -1,6 +1,7 @@
 import {assertInvariant} from '@marjoramcove/errors';
 import {MAX_CLOCK_DRIFT} from '@marjoramcove/types';
 import type {ConfigurationDigest} from './commands.ts';
+import {suspendedSince} from './suspended-since.ts';
 
 /** A time of the process: its monotonic clock, and the wall clock to see that the VM was suspended. */
 export type ProcessTime = {nowMs: number; wallMs: number};
@@ -40,9 +41,8 @@
 	state: RegistrarLeaseState,
 	{nowMs, wallMs}: ProcessTime,
 ): number => {
-	const offsetMs = wallMs - nowMs;
-	state.suspendedMs += Math.max(0, offsetMs - (state.wallOffsetMs ?? offsetMs));
-	state.wallOffsetMs = offsetMs;
+	state.suspendedMs += suspendedSince(state.wallOffsetMs, nowMs, wallMs);
+	state.wallOffsetMs = wallMs - nowMs;
 	return nowMs + state.suspendedMs;
 };
 
