Share what routing and pauses know of the memory of a program

Cause: the newest hold, the estimate of cached tokens with its 4 bytes per token, and the look-up of a dispatcher with its incarnation stood in routing and again in the pause of a program. Behaviour is unchanged.

--- a/packages/daemon/src/owner/pause-program.ts
+++ b/packages/daemon/src/owner/pause-program.ts
@@ -7,6 +7,8 @@
 	formatCopyHolder,
 	parseCopyHolder,
 } from './copy-holder.ts';
+import {estimateCachedTokens, newestHold} from './engine-memory.ts';
+import {findDispatcher} from './find-dispatcher.ts';
 import type {OwnerCore} from './owner-core.ts';
 import type {OwnerSweeps} from './owner-sweeps.ts';
 import type {ProgramGates} from './program-gates.ts';
@@ -18,9 +20,6 @@
 /** Longer than the time limits of the request that the dispatcher sends to the engine. */
 const exportTimeoutMs = 6000;
 
-const newestHold = ({holds}: ProgramDescription): Hold | undefined =>
-	holds.toSorted((a, b) => b.heldTurn - a.heldTurn)[0];
-
 const decide = (
 	core: OwnerCore,
 	program: ProgramDescription,
@@ -31,7 +30,7 @@
 	const {policy, limits} = core.context.settings;
 	return decideRetention(
 		{
-			cachedTokens: Math.floor(program.historyBytes / 4),
+			cachedTokens: estimateCachedTokens(program),
 			expectedPauseMs: expectedMs,
 			programEnded: false,
 			cacheUsedTokens: load.kvTokens,
@@ -112,15 +111,6 @@
 	}
 };
 
-const findHolder = (
-	core: OwnerCore,
-	upstreamId: UpstreamId,
-): CopyHolder | undefined => {
-	const daemonId = core.upstreams.dispatcherOf(upstreamId);
-	const member = daemonId && core.configuration.members.get(daemonId);
-	return member && {daemonId, incarnation: member.incarnation, upstreamId};
-};
-
 /**
  * Moves the memory of a hold to a copy. The hold of the copy is recorded before the copy is made, and
  * the engine frees its memory only after it was made.
@@ -137,11 +127,11 @@
 		program.call !== undefined ||
 		hold?.upstreamId !== upstreamId ||
 		hold.heldTurn !== heldTurn;
-	const holder = findHolder(core, upstreamId);
+	const dispatcher = findDispatcher(core, upstreamId);
 	if (
 		isOutdated ||
-		!holder ||
-		!(await copyMemory(core, sweeps, programId, holder))
+		!dispatcher ||
+		!(await copyMemory(core, sweeps, programId, {...dispatcher, upstreamId}))
 	) {
 		return 'keep';
 	}
--- a/packages/daemon/src/owner/route-call.ts
+++ b/packages/daemon/src/owner/route-call.ts
@@ -16,6 +16,8 @@
 import {assumedCompletionTokens, type Target} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
 import {engineOfHold} from './copy-holder.ts';
+import {estimateCachedTokens, newestHold} from './engine-memory.ts';
+import {findDispatcher} from './find-dispatcher.ts';
 import {estimateEngineWork} from './estimate-engine-work.ts';
 import type {OpenCallLoads} from './open-call-loads.ts';
 import type {OwnerCore} from './owner-core.ts';
@@ -45,10 +47,12 @@
 		? `model ${target.model}`
 		: `${target.service}/${target.operation}`;
 
-const previousEngine = (program: ProgramDescription): UpstreamId | undefined =>
-	program.holds
-		.toSorted((a, b) => b.heldTurn - a.heldTurn)
-		.map(({upstreamId}) => engineOfHold(upstreamId))[0];
+const previousEngine = (
+	program: ProgramDescription,
+): UpstreamId | undefined => {
+	const hold = newestHold(program);
+	return hold && engineOfHold(hold.upstreamId);
+};
 
 const viewOf = (
 	core: OwnerCore,
@@ -72,7 +76,7 @@
 		outstandingTokens: work.prefillTokens + work.completionTokens,
 		outstandingCompletionTokens: work.completionTokens,
 		cachedTokens: isPrevious
-			? Math.min(promptTokens, Math.floor(program.historyBytes / 4))
+			? Math.min(promptTokens, estimateCachedTokens(program))
 			: 0,
 		cacheCapacityTokens: load.kvCapacityTokens || 1_000_000,
 		cacheUsedTokens: load.kvTokens,
@@ -212,9 +216,8 @@
 	core: OwnerCore,
 	upstream: UpstreamResource,
 ): Omit<Route, 'cachedTokens' | 'views'> => {
-	const dispatcherId = core.upstreams.dispatcherOf(upstream.name);
-	const member = dispatcherId && core.configuration.members.get(dispatcherId);
-	if (!dispatcherId || !member) {
+	const dispatcher = findDispatcher(core, upstream.name);
+	if (!dispatcher) {
 		throw refusal(
 			'no-dispatcher',
 			'No daemon is ready to dispatch the call.',
@@ -224,7 +227,7 @@
 
 	return {
 		upstream,
-		dispatcherId,
-		dispatcherIncarnation: member.incarnation,
+		dispatcherId: dispatcher.daemonId,
+		dispatcherIncarnation: dispatcher.incarnation,
 	};
 };
