--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -19,7 +19,7 @@
 import {z} from 'zod';
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
-import type {HeartbeatAnswer} from './heartbeat-contract.ts';
+import {attemptTimeoutOf, type HeartbeatAnswer} from './heartbeat-contract.ts';
 import {RegistrarChoice} from './registrar-choice.ts';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
@@ -203,7 +203,7 @@
 	}
 
 	get #attemptTimeoutMs(): number {
-		return Math.max(this.#context.settings.timing.heartbeatMs, 500);
+		return attemptTimeoutOf(this.#context.settings.timing.heartbeatMs);
 	}
 
 	/**
--- a/packages/daemon/src/services/heartbeat-contract.ts
+++ b/packages/daemon/src/services/heartbeat-contract.ts
@@ -67,6 +67,10 @@
 			notices: UpstreamNotice[];
 	  };
 
+/** Time for which an answer to a heartbeat or a request for a confirmation is waited for. */
+export const attemptTimeoutOf = (heartbeatMs: number): number =>
+	Math.max(500, heartbeatMs);
+
 /** Silence after which a registrar counts a daemon as lost. */
 export const memberTimeoutOf = (heartbeatMs: number): number =>
 	Math.max(1500, 4 * heartbeatMs);
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -22,6 +22,7 @@
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import {
+	attemptTimeoutOf,
 	type ConfirmAnswer,
 	type ConfirmRequest,
 	type HeartbeatAnswer,
@@ -209,7 +210,7 @@
 	}
 
 	get #attemptTimeoutMs(): number {
-		return Math.max(this.#context.settings.timing.heartbeatMs, 500);
+		return attemptTimeoutOf(this.#context.settings.timing.heartbeatMs);
 	}
 
 	/** Asks the leader to confirm the configuration, with the changes of the members since the last time. */
