Unify the waits of a run and the restarts of a delivery

Cause: CallRun had two nearly equal waits, with and without a time limit; AnswerDelivery cleared a resume position in two places beside its restart; and a fixture and a test built the same call. Behaviour is unchanged.

--- a/packages/daemon/src/dispatcher/call-run.ts
+++ b/packages/daemon/src/dispatcher/call-run.ts
@@ -82,14 +82,14 @@
 			if (text !== '') {
 				yield {type: 'chunk', offset, text};
 				offset += text.length;
-				if (coalesceMs > 0) {
-					await this.#finished(signal, coalesceMs);
+				if (coalesceMs > 0 && !this.isFinished && !signal.aborted) {
+					await this.#wait(this.#endReaders, signal, coalesceMs);
 				}
 			} else if (this.#final) {
 				yield this.#final;
 				return;
 			} else {
-				await this.#changed(signal);
+				await this.#wait(this.#readers, signal);
 			}
 		}
 	}
@@ -102,35 +102,23 @@
 			: text.slice(0, -1);
 	}
 
-	/** Waits for the end of the run, for a time at most. */
-	async #finished(signal: AbortSignal, timeoutMs: number): Promise<void> {
-		if (this.isFinished || signal.aborted) {
-			return;
-		}
-
+	/** Waits until a wake-up of the set, an abort, or the end of a time. */
+	async #wait(
+		waiters: Set<() => void>,
+		signal: AbortSignal,
+		timeoutMs?: number,
+	): Promise<void> {
 		await new Promise<void>((resolve) => {
 			const finish = () => {
 				clearTimeout(timer);
-				this.#endReaders.delete(finish);
-				signal.removeEventListener('abort', finish);
-				resolve();
-			};
-
-			const timer = setTimeout(finish, timeoutMs);
-			this.#endReaders.add(finish);
-			signal.addEventListener('abort', finish);
-		});
-	}
-
-	async #changed(signal: AbortSignal): Promise<void> {
-		await new Promise<void>((resolve) => {
-			const finish = () => {
-				this.#readers.delete(finish);
+				waiters.delete(finish);
 				signal.removeEventListener('abort', finish);
 				resolve();
 			};
 
-			this.#readers.add(finish);
+			const timer =
+				timeoutMs === undefined ? undefined : setTimeout(finish, timeoutMs);
+			waiters.add(finish);
 			signal.addEventListener('abort', finish);
 		});
 	}
--- a/packages/daemon/src/entry/answer-delivery.ts
+++ b/packages/daemon/src/entry/answer-delivery.ts
@@ -35,8 +35,7 @@
 	/** Begins or continues an attempt and returns the offset from which its text is needed. */
 	begin(attempt: number): number {
 		if (this.#resume && this.#resume.attempt !== attempt) {
-			this.#resume = undefined;
-			this.#reader.onRestart();
+			this.#restart();
 		}
 
 		if (this.#attempt !== attempt) {
@@ -81,12 +80,8 @@
 	 */
 	finish(attempt: number, content: string): void {
 		this.begin(attempt);
-		if (this.#resume && this.#resume.offset > content.length) {
-			this.#resume = undefined;
-			this.#reader.onRestart();
-		}
-
-		if (this.#text.length > content.length) {
+		const length = this.#resume?.offset ?? this.#text.length;
+		if (length > content.length) {
 			this.#restart();
 		}
 
@@ -133,6 +128,7 @@
 
 	#restart(): void {
 		this.#reader.onRestart();
+		this.#resume = undefined;
 		this.#text = '';
 	}
 }
--- a/packages/daemon/src/entry/call-follower.test.ts
+++ b/packages/daemon/src/entry/call-follower.test.ts
@@ -1,28 +1,14 @@
 import {RefusedError} from '@marjoramcove/errors';
 import type {CallHandlers} from '@marjoramcove/transport';
 import {describe, expect, it} from 'vitest';
-import {
-	type AcceptInput,
-	acceptSchema,
-	type CallState,
-	type DispatchEvent,
-} from '../call-contracts.ts';
+import type {CallState, DispatchEvent} from '../call-contracts.ts';
 import type {DaemonContext} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {CallFollower} from './call-follower.ts';
+import {createAcceptInput} from './model-call.fixture.ts';
 
-const input: AcceptInput = acceptSchema.parse({
-	programId: 'p0-a',
-	requestId: 'r1',
-	bodyHash: '',
-	kind: 'model',
-	target: {model: 'agent-large'},
-	messages: [],
-	parameters: {},
-	zone: 'zone-a',
-	timeoutMs: 1000,
-});
+const input = createAcceptInput('p0-a', 'r1', 1000);
 
 const granted = (attempt: number): CallState =>
 	({
--- a/packages/daemon/src/entry/model-call.fixture.ts
+++ b/packages/daemon/src/entry/model-call.fixture.ts
@@ -1,6 +1,24 @@
 import {type AcceptInput, acceptSchema} from '../call-contracts.ts';
 import type {CallRun} from '../dispatcher/call-run.ts';
 
+/** A model call as an entry daemon sends it to the owner. */
+export const createAcceptInput = (
+	programId: string,
+	requestId: string,
+	timeoutMs: number,
+): AcceptInput =>
+	acceptSchema.parse({
+		programId,
+		requestId,
+		bodyHash: '',
+		kind: 'model',
+		target: {model: 'agent-large'},
+		messages: [],
+		parameters: {},
+		zone: 'zone-a',
+		timeoutMs,
+	});
+
 /** One call of the model, with its attempts and its record. */
 export class ModelCall {
 	readonly input: AcceptInput;
@@ -10,17 +28,7 @@
 	recorded: {attempt: number; content: string} | undefined;
 
 	constructor(programId: string, requestId: string, length: number) {
-		this.input = acceptSchema.parse({
-			programId,
-			requestId,
-			bodyHash: '',
-			kind: 'model',
-			target: {model: 'agent-large'},
-			messages: [],
-			parameters: {},
-			zone: 'zone-a',
-			timeoutMs: 20_000,
-		});
+		this.input = createAcceptInput(programId, requestId, 20_000);
 		this.text = Array.from(
 			{length},
 			(_, index) => `${programId}/${requestId}/${index};`,
