--- a/packages/integration/src/helpers/fee-bench.ts
+++ b/packages/integration/src/helpers/fee-bench.ts
@@ -70,12 +70,9 @@
 		cluster.heal();
 		for (const daemon of cluster.daemons) {
 			daemon.signal('SIGCONT');
-			if (!daemon.running) {
-				daemon.start();
-			}
 		}
 
-		await cluster.ready();
+		await cluster.restartStopped();
 		await waitForStableRoles(this.bed, 'entry-desk-1');
 	}
 
--- a/packages/integration/src/i1-durable-state.test.ts
+++ b/packages/integration/src/i1-durable-state.test.ts
@@ -76,11 +76,7 @@
 		const programId = await writeProgram('d4', 'a');
 		const before = await bed.readResources('d4');
 		await Promise.all(bed.cluster.daemons.map(async (daemon) => daemon.kill()));
-		for (const daemon of bed.cluster.daemons) {
-			daemon.start();
-		}
-
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 		await expectHistory('d5', programId, 'a');
 		const after = await waitFor('the resources', async () =>
 			bed.readResources('d4'),
--- a/packages/integration/src/i4-whole-answers.test.ts
+++ b/packages/integration/src/i4-whole-answers.test.ts
@@ -24,12 +24,6 @@
 
 	afterEach(async (context) => {
 		showLogsOnFailure(bed, context);
-		for (const daemon of bed.cluster.daemons) {
-			if (!daemon.running) {
-				daemon.start();
-			}
-		}
-
 		for (const engine of bed.engines) {
 			engine.clearFaults();
 			if (!engine.running) {
@@ -37,7 +31,7 @@
 			}
 		}
 
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 	});
 
 	afterAll(async () => {
--- a/packages/integration/src/i5-configuration.test.ts
+++ b/packages/integration/src/i5-configuration.test.ts
@@ -163,11 +163,7 @@
 		expect(statuses.filter(({status}) => status !== 200)).toEqual([]);
 		const before = await bed.readResources('d4');
 		await Promise.all(bed.cluster.daemons.map(async (daemon) => daemon.kill()));
-		for (const daemon of bed.cluster.daemons) {
-			daemon.start();
-		}
-
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 		const lists = await Promise.all(
 			bed.cluster.daemons.map(async ({daemonId}) =>
 				waitForRevision(daemonId, before.revision),
--- a/packages/integration/src/i6-budget.test.ts
+++ b/packages/integration/src/i6-budget.test.ts
@@ -27,13 +27,7 @@
 			}
 		}
 
-		for (const daemon of bed.cluster.daemons) {
-			if (!daemon.running) {
-				daemon.start();
-			}
-		}
-
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 	});
 
 	afterAll(async () => {
--- a/packages/integration/src/i8-engine-memory.test.ts
+++ b/packages/integration/src/i8-engine-memory.test.ts
@@ -20,13 +20,7 @@
 
 	afterEach(async (context) => {
 		showLogsOnFailure(bed, context);
-		for (const daemon of bed.cluster.daemons) {
-			if (!daemon.running) {
-				daemon.start();
-			}
-		}
-
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 	});
 
 	afterAll(async () => {
--- a/packages/integration/src/i9-leaving.test.ts
+++ b/packages/integration/src/i9-leaving.test.ts
@@ -32,13 +32,7 @@
 
 	afterEach(async (context) => {
 		showLogsOnFailure(bed, context);
-		for (const daemon of bed.cluster.daemons) {
-			if (!daemon.running) {
-				daemon.start();
-			}
-		}
-
-		await bed.cluster.ready();
+		await bed.cluster.restartStopped();
 	});
 
 	afterAll(async () => {
--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -140,6 +140,17 @@
 		);
 	}
 
+	/** Starts the daemons that have stopped, and waits until each is ready. */
+	async restartStopped(): Promise<void> {
+		for (const daemon of this.daemons) {
+			if (!daemon.running) {
+				daemon.start();
+			}
+		}
+
+		await this.ready();
+	}
+
 	/** Proxy of the link over which one daemon connects to another. */
 	link(from: string, to: string): TcpProxy {
 		const proxy = this.#proxies.get(`${from}>${to}`);
--- a/packages/test-support/src/http-stand-in.ts
+++ b/packages/test-support/src/http-stand-in.ts
@@ -4,8 +4,9 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import polka, {type Polka} from 'polka';
+import {listenOnLoopback} from './listen-on-loopback.ts';
 
 /**
  * Base of the in-process HTTP stand-ins: listens on a loopback port that the system chooses, and
@@ -47,11 +48,7 @@
 		});
 		this.route(app);
 		server.on('request', app.handler.bind(app));
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(this.#port, '127.0.0.1', resolve);
-		});
-		this.#port = (server.address() as AddressInfo).port;
+		this.#port = await listenOnLoopback(server, this.#port);
 		this.#server = server;
 		return this;
 	}
--- a/packages/test-support/src/tcp-proxy.ts
+++ b/packages/test-support/src/tcp-proxy.ts
@@ -1,10 +1,5 @@
-import {
-	type AddressInfo,
-	connect,
-	createServer,
-	type Server,
-	type Socket,
-} from 'node:net';
+import {connect, createServer, type Server, type Socket} from 'node:net';
+import {listenOnLoopback} from './listen-on-loopback.ts';
 
 /** Directions of a proxied connection. */
 export type ProxyDirection = 'to-server' | 'to-client' | 'both';
@@ -52,11 +47,7 @@
 		const server = createServer((client) => {
 			this.#accept(client);
 		});
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(this.#port, '127.0.0.1', resolve);
-		});
-		this.#port = (server.address() as AddressInfo).port;
+		this.#port = await listenOnLoopback(server, this.#port);
 		this.#server = server;
 		return this;
 	}
