--- /dev/null
+++ b/packages/balancer/src/index.ts
@@ -0,0 +1,2 @@
+export {chooseServer, type ServerChoice} from './choose-server.ts';
+export {type ServerLoad, ServerTable} from './server-table.ts';
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,4 +1,5 @@
 export {Clock, SystemClock} from './clock.ts';
+export {CommandClock, type MonotonicSource} from './command-clock.ts';
 export type {Membership, ReplicaDescriptor} from './membership.ts';
 export {createRaftState, type RecoveredReplica} from './raft-state.ts';
 export {
--- a/packages/daemon/src/services/peers-service.ts
+++ b/packages/daemon/src/services/peers-service.ts
@@ -1,54 +1,63 @@
-import {MarjoramcoveError} from '@marjoramcove/errors';
 import {Service} from '@marjoramcove/kernel';
 import {
 	type CallHandlers,
-	PeerClient,
-	type PeerContext,
+	type PeerChannel,
+	type PeerClientEvent,
+	PeerNetwork,
 	type PostProcedure,
 	type Procedures,
 } from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
 import type {z, ZodType} from 'zod';
-import {type DaemonContext, refusal} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 
-/** Links are kept apart so that a large history never delays a heartbeat of a replicated log. */
-type Channel = 'control' | 'data';
-
-const idleLinkMs = 60_000;
-const localContext: PeerContext = {
-	async writable() {
-		// A local stream has no connection that could be slow.
-	},
-};
-
-/** Calls between daemons: the procedures that this daemon serves and the links to the others. */
+/** The network of this daemon; it knows the addresses of the settings and those it learned. */
 export class PeersService extends Service {
-	readonly procedures: Procedures = {};
-	readonly posts: Record<string, PostProcedure> = {};
 	readonly #context: DaemonContext;
-	readonly #clients = new Map<string, PeerClient>();
 	readonly #addresses = new Map<string, string>();
+	readonly #network: PeerNetwork;
 
 	constructor(context: DaemonContext) {
 		super();
 		this.#context = context;
-		for (const peer of context.settings.cluster.peers) {
+		const {daemonId, cluster, timing, limits} = context.settings;
+		for (const peer of cluster.peers) {
 			this.#addresses.set(peer.daemonId, peer.peerAddress);
 		}
+
+		this.#network = new PeerNetwork({
+			selfId: daemonId,
+			findAddress: (peerId) => this.#addresses.get(peerId),
+			link: {
+				heartbeatMs: timing.linkHeartbeatMs,
+				silenceMs: timing.linkTimeoutMs,
+				maxMessageBytes: limits.peerMessageSizeBytes,
+				maxPendingCalls: limits.queuedMessagesPerLink,
+			},
+			onEvent: (event, peer) => {
+				this.#report(event, peer);
+			},
+		});
 	}
 
 	override get name() {
 		return 'peers';
 	}
 
+	get procedures(): Procedures {
+		return this.#network.procedures;
+	}
+
+	get posts(): Record<string, PostProcedure> {
+		return this.#network.posts;
+	}
+
 	override async start() {
 		// Links open on their first call.
 	}
 
 	override async stop() {
-		for (const client of this.#clients.values()) {
-			client.close();
-		}
+		this.#network.close();
 	}
 
 	/** Serves a call with one answer. */
@@ -57,7 +66,7 @@
 		input: Schema,
 		run: (input: z.output<Schema>) => Promise<unknown>,
 	): void {
-		this.procedures[path] = {kind: 'call', input, run};
+		this.#network.handle(path, input, run);
 	}
 
 	/** Serves a call with a stream of answers. */
@@ -66,12 +75,7 @@
 		input: Schema,
 		run: (input: z.output<Schema>, signal: AbortSignal) => AsyncGenerator,
 	): void {
-		this.procedures[path] = {
-			kind: 'stream',
-			input,
-			run: ((value: z.output<Schema>, _context: unknown, signal: AbortSignal) =>
-				run(value, signal)) as never,
-		};
+		this.#network.handleStream(path, input, run);
 	}
 
 	/** Takes messages that have no answer. */
@@ -80,7 +84,7 @@
 		input: Schema,
 		run: (input: z.output<Schema>) => void,
 	): void {
-		this.posts[path] = {input, run};
+		this.#network.handlePost(path, input, run);
 	}
 
 	/** Learns the address of a daemon that the settings do not list. */
@@ -95,15 +99,9 @@
 		daemonId: DaemonId,
 		path: string,
 		input: unknown,
-		{timeoutMs, channel = 'data'}: {timeoutMs: number; channel?: Channel},
+		options: {timeoutMs: number; channel?: PeerChannel},
 	): Promise<Output> {
-		if (daemonId === this.#context.settings.daemonId) {
-			return this.#callLocally<Output>(path, input, timeoutMs);
-		}
-
-		return this.#client(daemonId, channel).call<Output>(path, input, {
-			timeoutMs,
-		});
+		return this.#network.call<Output>(daemonId, path, input, options);
 	}
 
 	/** Sends a message without an answer to another daemon; it may be lost. */
@@ -111,9 +109,9 @@
 		daemonId: DaemonId,
 		path: string,
 		input: unknown,
-		channel: Channel,
+		channel: PeerChannel,
 	): Promise<void> {
-		await this.#client(daemonId, channel).post(path, input);
+		await this.#network.post(daemonId, path, input, channel);
 	}
 
 	/** Opens a stream of a daemon, which may be this one. */
@@ -123,131 +121,27 @@
 		input: unknown,
 		handlers: CallHandlers,
 	): Promise<() => void> {
-		if (daemonId !== this.#context.settings.daemonId) {
-			return this.#client(daemonId, 'data').subscribe(path, input, handlers);
-		}
-
-		const controller = new AbortController();
-		void this.#streamLocally(path, input, handlers, controller.signal);
-		return () => {
-			controller.abort();
-		};
+		return this.#network.subscribe(daemonId, path, input, handlers);
 	}
 
-	async #callLocally<Output>(
-		path: string,
-		input: unknown,
-		timeoutMs: number,
-	): Promise<Output> {
-		const procedure = this.procedures[path];
-		if (procedure?.kind !== 'call') {
-			throw refusal('procedure-unknown', `No call ${path}.`, 'Report this.');
-		}
-
-		let timer: NodeJS.Timeout | undefined;
-		const timeout = new Promise<never>((_resolve, reject) => {
-			timer = setTimeout(() => {
-				reject(
-					new MarjoramcoveError(
-						`This daemon did not answer ${path} within ${Math.round(timeoutMs)} ms.`,
-						{
-							reason: 'peer-timeout',
-							verdict: 'may-have-run',
-							hint: 'Look up the outcome by the id of the request.',
-						},
-					),
-				);
-			}, timeoutMs);
-		});
-		try {
-			const parsed = procedure.input.parse(input) as never;
-			return (await Promise.race([
-				procedure.run(parsed, localContext),
-				timeout,
-			])) as Output;
-		} finally {
-			clearTimeout(timer);
-		}
-	}
-
-	async #streamLocally(
-		path: string,
-		input: unknown,
-		handlers: CallHandlers,
-		signal: AbortSignal,
-	): Promise<void> {
-		const procedure = this.procedures[path];
-		try {
-			if (procedure?.kind !== 'stream') {
-				throw refusal('procedure-unknown', `No stream ${path}.`, 'Report it.');
-			}
-
-			const parsed = procedure.input.parse(input) as never;
-			for await (const value of procedure.run(parsed, localContext, signal)) {
-				if (signal.aborted) {
-					return;
-				}
-
-				handlers.onData(value);
-			}
-
-			handlers.onComplete?.();
-		} catch (error) {
-			if (!signal.aborted) {
-				handlers.onError(error as Error);
-			}
-		}
-	}
-
-	#client(daemonId: DaemonId, channel: Channel): PeerClient {
-		const address = this.#addresses.get(daemonId);
-		if (address === undefined) {
-			throw refusal(
-				'peer-unknown',
-				`The address of daemon ${daemonId} is not known.`,
-				'Retry after the next heartbeat.',
-			);
-		}
-
-		const key = `${channel} ${address}`;
-		let client = this.#clients.get(key);
-		if (!client) {
-			client = this.#createClient(address, daemonId, channel);
-			this.#clients.set(key, client);
+	#report(
+		event: PeerClientEvent,
+		{daemonId, channel}: {daemonId: DaemonId; channel: PeerChannel},
+	): void {
+		const reason = event.type === 'link-closed' ? event.reason : '';
+		this.#context.metrics
+			.counter(
+				'marjoramcove_link_events_total',
+				'Events of links to other daemons.',
+			)
+			.increment({event: event.type, ...(reason && {reason})});
+		if (event.type !== 'reconnecting') {
+			this.#context.logger.info({
+				event: event.type,
+				peer: daemonId,
+				channel,
+				...(reason && {reason}),
+			});
 		}
-
-		return client;
-	}
-
-	#createClient(
-		address: string,
-		daemonId: DaemonId,
-		channel: Channel,
-	): PeerClient {
-		const {timing, limits} = this.#context.settings;
-		const events = this.#context.metrics.counter(
-			'marjoramcove_link_events_total',
-			'Events of links to other daemons.',
-		);
-		return new PeerClient({
-			address,
-			heartbeatMs: timing.linkHeartbeatMs,
-			silenceMs: timing.linkTimeoutMs,
-			maxMessageBytes: limits.peerMessageSizeBytes,
-			maxPendingCalls: limits.queuedMessagesPerLink,
-			idleMs: idleLinkMs,
-			onEvent: (event) => {
-				const reason = event.type === 'link-closed' ? event.reason : '';
-				events.increment({event: event.type, ...(reason && {reason})});
-				if (event.type !== 'reconnecting') {
-					this.#context.logger.info({
-						event: event.type,
-						peer: daemonId,
-						channel,
-						...(reason && {reason}),
-					});
-				}
-			},
-		});
 	}
 }
--- a/packages/daemon/src/services/state-machines.ts
+++ b/packages/daemon/src/services/state-machines.ts
@@ -8,6 +8,7 @@
 } from '@marjoramcove/configuration';
 import {
 	type ApplyOutcome,
+	CommandClock,
 	type CommittedEntry,
 	StateMachine,
 } from '@marjoramcove/consensus';
@@ -25,7 +26,6 @@
 } from '@marjoramcove/programs';
 import type {UpstreamId} from '@marjoramcove/types';
 import {engineOfHold} from '../owner/copy-holder.ts';
-import {CommandClock} from '../owner/command-clock.ts';
 
 /** Encodes a command for the replicated log. */
 export const encodeCommand = (
--- /dev/null
+++ b/packages/fleet/src/stamp.ts
@@ -0,0 +1,29 @@
+/** Orders the states of a topic over changes of the leader that publishes it. */
+export type Stamp = {
+	/** Term of the leader. */
+	term: number;
+	/** Counts the changes within the term. */
+	sequence: number;
+};
+
+/**
+ * Compares two stamps; positive when the first one is newer.
+ *
+ * @example
+ * ```ts
+ * compareStamps({term: 2, sequence: 0}, {term: 1, sequence: 9}); // 1
+ * ```
+ */
+export const compareStamps = (a: Stamp, b: Stamp): number =>
+	Math.sign(a.term - b.term || a.sequence - b.sequence);
+
+/**
+ * Whether a stamp is newer than a known one; any stamp is newer than none.
+ *
+ * @example
+ * ```ts
+ * isNewer({term: 1, sequence: 2}, undefined); // true
+ * ```
+ */
+export const isNewer = (stamp: Stamp, known: Stamp | undefined): boolean =>
+	known === undefined || compareStamps(stamp, known) > 0;
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,16 @@
+export {
+	type DirectoryApi,
+	GatewayAdapter,
+	type OperatorApi,
+} from './gateway-adapter.ts';
+export {
+	DEFAULT_GATEWAY_TIMING,
+	type GatewaySettings,
+	type GatewayTiming,
+} from './gateway-settings.ts';
+export {runGateway} from './run-gateway.ts';
+export {
+	deriveReplication,
+	deriveTiming,
+	type SurroundingBounds,
+} from './derive-timing.ts';
--- /dev/null
+++ b/packages/gateway/src/run-gateway.ts
@@ -0,0 +1,270 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Kernel, type Service} from '@marjoramcove/kernel';
+import {createLogger} from '@marjoramcove/logger';
+import type {GatewayAdapter} from './gateway-adapter.ts';
+import {
+	createGatewayContext,
+	type GatewayContext,
+	messageOf,
+	reasonOf,
+} from './gateway-context.ts';
+import type {GatewaySettings} from './gateway-settings.ts';
+import {ControlService} from './services/control-service.ts';
+import {EntryService} from './services/entry-service.ts';
+import {FleetService} from './services/fleet-service.ts';
+import {
+	createDirectory,
+	createMetricsListener,
+	HttpService,
+} from './services/http-service.ts';
+import {InventoryService} from './services/inventory-service.ts';
+import {PeerListenerService, PeersService} from './services/peers-service.ts';
+import {ShardPlannerService} from './services/shard-planner-service.ts';
+import {StoreService} from './services/store-service.ts';
+import {TurnsService} from './services/turns-service.ts';
+
+/** Interval at which a stopping daemon checks whether its work is done. */
+const DRAIN_POLL_MS = 50;
+
+/** Time for which a daemon with a disk gives its leaderships away before it stops. */
+const HAND_OVER_MS = 3000;
+
+const createControlServices = (
+	context: GatewayContext,
+	peers: PeersService,
+): Service[] => {
+	const {adapter, settings} = context;
+	const control = new ControlService(context);
+	const {control: controlAddress, directory} = settings.listen;
+	return [
+		control,
+		new ShardPlannerService(context),
+		new InventoryService(context),
+		new PeerListenerService(context, peers),
+		...(controlAddress === undefined
+			? []
+			: [
+					new HttpService(
+						'operator-api',
+						controlAddress,
+						adapter.createOperatorListener(control),
+					),
+				]),
+		...(directory === undefined
+			? []
+			: [
+					new HttpService(
+						'directory',
+						directory,
+						adapter.createDirectoryListener(createDirectory(context)),
+					),
+				]),
+	];
+};
+
+const createEntryServices = (context: GatewayContext): Service[] => {
+	const entry = new EntryService(context);
+	const {ready} = context.settings.listen;
+	return [
+		new TurnsService(context),
+		entry,
+		...(ready === undefined
+			? []
+			: [
+					new HttpService(
+						'ready',
+						ready,
+						context.adapter.createReadyListener(() => entry.isReady),
+					),
+				]),
+	];
+};
+
+const createServices = (context: GatewayContext): Service[] => {
+	const peers = new PeersService(context);
+	const fleet = new FleetService(context);
+	const {role, listen} = context.settings;
+	const common = [
+		peers,
+		fleet,
+		...(listen.metrics === undefined
+			? []
+			: [
+					new HttpService(
+						'metrics',
+						listen.metrics,
+						createMetricsListener(context),
+					),
+				]),
+	];
+	switch (role) {
+		case 'control': {
+			return [...common, ...createControlServices(context, peers)];
+		}
+
+		case 'state': {
+			return [
+				...common,
+				new StoreService(context),
+				new PeerListenerService(context, peers),
+			];
+		}
+
+		case 'entry': {
+			return [...common, ...createEntryServices(context)];
+		}
+	}
+};
+
+/** One daemon, from its start to the end of its drain. */
+class Gateway {
+	readonly #context: GatewayContext;
+	readonly #kernel = new Kernel();
+	#drained: Promise<void> | undefined;
+
+	constructor(context: GatewayContext) {
+		this.#context = context;
+		for (const service of createServices(context)) {
+			this.#kernel.register(service);
+		}
+	}
+
+	async start(): Promise<void> {
+		const {settings, incarnation, logger} = this.#context;
+		logger.info({
+			event: 'daemon-starting',
+			role: settings.role,
+			zone: settings.zone,
+			peer: settings.daemonId,
+			incarnation,
+			isFirstFormation: settings.isFirstFormation,
+			seeds: settings.seeds.join(','),
+		});
+		await this.#kernel.start();
+		if (settings.role === 'control') {
+			this.#context.phase = 'ready';
+		}
+
+		logger.info({event: 'daemon-started', role: settings.role});
+	}
+
+	/** Stops in order; a second call changes nothing. */
+	async drain(): Promise<void> {
+		this.#drained ??= this.#drainOnce();
+		return this.#drained;
+	}
+
+	async #drainOnce(): Promise<void> {
+		const {logger, settings} = this.#context;
+		const startedAtMs = performance.now();
+		this.#context.phase = 'draining';
+		logger.info({event: 'drain-started'});
+		await this.#kernel.get<FleetService>('fleet').reportNow();
+		await (settings.role === 'entry'
+			? this.#drainEntry(startedAtMs)
+			: Promise.race([this.#kernel.drain(), sleep(HAND_OVER_MS)]));
+
+		logger.info({
+			event: 'drain-finished',
+			durationMs: Math.round(performance.now() - startedAtMs),
+		});
+		await this.#kernel.stop();
+	}
+
+	/** Serves the callers that still have this address, then what is under way. */
+	async #drainEntry(startedAtMs: number): Promise<void> {
+		const entry = this.#kernel.get<EntryService>('entry');
+		const {entryDrainMs, stopDeadlineMs} = this.#context.settings.timing;
+		const passedMs = () => performance.now() - startedAtMs;
+		while (
+			passedMs() < entryDrainMs ||
+			(entry.activeRequests > 0 && passedMs() < stopDeadlineMs)
+		) {
+			await sleep(DRAIN_POLL_MS);
+		}
+
+		entry.closeIdleConnections();
+	}
+}
+
+const handleProcessEvents = (
+	context: GatewayContext,
+	drain: () => void,
+): void => {
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, drain);
+	}
+
+	process.on('unhandledRejection', (error) => {
+		context.logger.error({
+			event: 'unhandled-rejection',
+			reason: reasonOf(error),
+			error: messageOf(error),
+			stack: error instanceof Error ? error.stack : undefined,
+		});
+	});
+	process.on('uncaughtException', (error) => {
+		context.fail(error);
+	});
+};
+
+/**
+ * Runs a daemon that finds its peers from seeds until it has been drained by SIGTERM, then resolves
+ * with the exit code.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runGateway(settings, new MyAdapter());
+ * ```
+ */
+export const runGateway = async (
+	settings: GatewaySettings,
+	adapter: GatewayAdapter,
+): Promise<number> => {
+	const {logger, close} = await createLogger({
+		...settings.logs,
+		fields: {daemon: settings.name},
+	});
+	return new Promise<number>((resolve) => {
+		const finish = async (code: number) => {
+			await close();
+			resolve(code);
+		};
+
+		const context = createGatewayContext({
+			settings,
+			adapter,
+			logger,
+			fail(error) {
+				logger.error({
+					event: 'daemon-failed',
+					reason: reasonOf(error),
+					error: messageOf(error),
+					stack: error instanceof Error ? error.stack : undefined,
+				});
+				// The state is doubtful: nothing more may be written, so the process does not drain.
+				void finish(1);
+			},
+		});
+		const gateway = new Gateway(context);
+		let isDraining = false;
+		handleProcessEvents(context, () => {
+			if (isDraining) {
+				return;
+			}
+
+			isDraining = true;
+			void (async () => {
+				await gateway.drain();
+				await finish(0);
+			})();
+		});
+		void (async () => {
+			try {
+				await gateway.start();
+			} catch (error) {
+				context.fail(error);
+			}
+		})();
+	});
+};
--- /dev/null
+++ b/packages/gateway/src/services/entry-service.ts
@@ -0,0 +1,327 @@
+import {
+	type CallerExchange,
+	IngressServer,
+	type RequestHead,
+	StreamReader,
+} from '@marjoramcove/ingress';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {chooseService, RouteTable} from '@marjoramcove/routes';
+import {refuse} from '../entry/answer-caller.ts';
+import {forwardPlain} from '../entry/forward-plain.ts';
+import {forwardStream} from '../entry/forward-stream.ts';
+import {forwardTurn} from '../entry/forward-turn.ts';
+import type {RequestContext, RequestOutcome} from '../entry/request-context.ts';
+import {Upstreams} from '../entry/upstreams.ts';
+import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {FleetService} from './fleet-service.ts';
+import type {TurnsService} from './turns-service.ts';
+
+/** Time after which a caller may ask again a daemon that has no configuration. */
+const UNCONFIGURED_RETRY_MS = 500;
+
+/** Serves callers: routes each request by the document in force and forwards it. */
+export class EntryService extends Service {
+	readonly #context: GatewayContext;
+	readonly #upstreams: Upstreams;
+	readonly #server: IngressServer;
+	#table: RouteTable | undefined;
+	#turns!: TurnsService;
+	#fleet!: FleetService;
+
+	constructor(context: GatewayContext) {
+		super();
+		this.#context = context;
+		this.#upstreams = new Upstreams(context);
+		const malformed = context.metrics.counter(
+			'marjoramcove_malformed_requests_total',
+			'Requests that could not be read, by code.',
+		);
+		this.#server = new IngressServer({
+			address: context.settings.listen.entry!,
+			onRequest: (exchange) => {
+				void this.#serve(exchange);
+			},
+			onMalformed({code, status, remoteAddress}) {
+				malformed.increment({code});
+				context.logger.warn({
+					event: 'request-malformed',
+					code,
+					status,
+					remoteAddress,
+				});
+			},
+		});
+	}
+
+	override get name() {
+		return 'entry';
+	}
+
+	/** Requests whose answer is not complete. */
+	get activeRequests(): number {
+		return this.#server.activeRequests;
+	}
+
+	/** Whether this daemon knows what it needs to serve callers. */
+	get isReady(): boolean {
+		return (
+			this.#context.phase === 'ready' &&
+			this.#table !== undefined &&
+			this.#hasLease
+		);
+	}
+
+	get #hasLease(): boolean {
+		const {view, settings} = this.#context;
+		return (
+			performance.now() - view.confirmedAtMs <
+			settings.timing.configurationLeaseMs
+		);
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#turns = kernel.get<TurnsService>('turns');
+		this.#fleet = kernel.get<FleetService>('fleet');
+		this.#context.view.onChange((topic) => {
+			if (topic === 'document') {
+				this.#applyDocument();
+			} else if (topic === 'servers') {
+				this.#upstreams.update();
+			}
+
+			this.#noteProgress();
+		});
+		await this.#server.start();
+	}
+
+	override async stop() {
+		await this.#server.stop();
+		await this.#upstreams.close();
+	}
+
+	/** Closes connections on which nothing is under way, so that their callers go elsewhere. */
+	closeIdleConnections(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	#applyDocument(): void {
+		const {view, adapter, logger} = this.#context;
+		const {document} = view.topics;
+		if (!document) {
+			return;
+		}
+
+		try {
+			this.#table = new RouteTable(adapter.decodeDocument(document.bytes));
+			this.#server.applyLimits(this.#table.document.limits);
+			this.#fleet.parts.documentVersion = document.version;
+			logger.info({
+				event: 'document-applied',
+				documentVersion: document.version,
+				routes: this.#table.document.routes.length,
+			});
+		} catch (error) {
+			// Only checked documents are stored, so this daemon runs another version than the leader.
+			logger.error({
+				event: 'document-not-applied',
+				documentVersion: document.version,
+				error: messageOf(error),
+			});
+		}
+	}
+
+	#noteProgress(): void {
+		const {view} = this.#context;
+		const isComplete =
+			this.#table !== undefined &&
+			view.topics.servers !== undefined &&
+			this.#turns.isReady;
+		if (this.#context.phase === 'starting' && isComplete) {
+			this.#context.phase = 'ready';
+			this.#context.logger.info({event: 'daemon-ready'});
+			void this.#fleet.reportNow();
+		}
+	}
+
+	async #serve(exchange: CallerExchange): Promise<void> {
+		const head = this.#context.adapter.heads.decodeRequest(exchange.headers);
+		if (this.#context.phase === 'draining') {
+			exchange.closeAfterAnswer();
+		}
+
+		let outcome: RequestOutcome;
+		let routeName: string | undefined;
+		try {
+			const prepared = await this.#prepare(exchange, head);
+			if ('outcome' in prepared) {
+				outcome = prepared.outcome;
+			} else {
+				routeName = prepared.request.route.name;
+				outcome = await this.#forward(prepared.request, prepared.table);
+			}
+		} catch (error) {
+			outcome = this.#failRequest(exchange, head, error);
+		}
+
+		this.#report(exchange, head, routeName, outcome);
+	}
+
+	/** Finds the route and reads the body, or refuses. */
+	async #prepare(
+		exchange: CallerExchange,
+		head: RequestHead,
+	): Promise<
+		{request: RequestContext; table: RouteTable} | {outcome: RequestOutcome}
+	> {
+		const refused = (
+			status: number,
+			reason: string,
+			message: string,
+			retryAfterMs?: number,
+		) => ({
+			outcome: refuse(
+				this.#context,
+				{exchange, head},
+				{status, reason, message, retryAfterMs},
+			),
+		});
+		const table = this.#table;
+		if (!table || !this.#hasLease) {
+			return refused(
+				503,
+				table ? 'configuration-lease-expired' : 'configuration-unknown',
+				'This daemon does not know the configuration in force. The request has not run.',
+				UNCONFIGURED_RETRY_MS,
+			);
+		}
+
+		const {limits, version} = table.document;
+		const headerSizeBytes = exchange.headers.reduce(
+			(sum, [name, value]) => sum + name.length + value.length + 4,
+			0,
+		);
+		if (headerSizeBytes > limits.headerSizeBytes) {
+			exchange.closeAfterAnswer();
+			return refused(431, 'head-too-large', 'The headers are too large.');
+		}
+
+		const route = exchange.target.startsWith('/')
+			? table.findRoute(exchange.host, exchange.target)
+			: undefined;
+		if (!route) {
+			return refused(404, 'route-unknown', 'No route matches.');
+		}
+
+		const timeLimitMs = Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
+		const body = await this.#readBody(exchange, limits.bodySizeBytes);
+		if ('status' in body) {
+			return refused(body.status, body.reason, body.message);
+		}
+
+		return {
+			table,
+			request: {
+				exchange,
+				head,
+				route,
+				service: chooseService(route, Math.random()),
+				body: body.bytes,
+				deadlineMs: exchange.receivedAtMs + timeLimitMs,
+				documentVersion: version,
+			},
+		};
+	}
+
+	async #readBody(
+		exchange: CallerExchange,
+		limitBytes: number,
+	): Promise<
+		{bytes: Buffer} | {status: number; reason: string; message: string}
+	> {
+		try {
+			return {bytes: await exchange.readBody(limitBytes)};
+		} catch (error) {
+			const reason = reasonOf(error);
+			exchange.closeAfterAnswer();
+			return {
+				status: reason === 'body-too-large' ? 413 : 400,
+				reason,
+				message: messageOf(error),
+			};
+		}
+	}
+
+	async #forward(
+		request: RequestContext,
+		table: RouteTable,
+	): Promise<RequestOutcome> {
+		const {route, head} = request;
+		const parts = {upstreams: this.#upstreams, table, turns: this.#turns};
+		if (route.kind !== 'stream') {
+			return forwardPlain(this.#context, request, parts);
+		}
+
+		if (head.programId !== undefined && head.budgetTokens !== undefined) {
+			return forwardTurn(this.#context, request, parts);
+		}
+
+		return forwardStream(this.#context, request, {
+			...parts,
+			reader: new StreamReader(),
+			async beforeEnd() {
+				// A stream outside of a program leaves nothing to record.
+			},
+		});
+	}
+
+	#failRequest(
+		exchange: CallerExchange,
+		head: RequestHead,
+		error: unknown,
+	): RequestOutcome {
+		this.#context.logger.error({
+			event: 'request-failed',
+			request: head.requestId,
+			reason: reasonOf(error),
+			error: messageOf(error),
+		});
+		return refuse(
+			this.#context,
+			{exchange, head},
+			{
+				status: 502,
+				reason: reasonOf(error),
+				message: 'The request failed. It may have run.',
+			},
+		);
+	}
+
+	#report(
+		exchange: CallerExchange,
+		head: RequestHead,
+		routeName: string | undefined,
+		outcome: RequestOutcome,
+	): void {
+		const durationMs = performance.now() - exchange.receivedAtMs;
+		const {firstByteMs} = outcome;
+		this.#context.logger.info({
+			event: 'request-finished',
+			request: head.requestId,
+			program: head.programId,
+			route: routeName,
+			documentVersion: this.#table?.document.version,
+			status: outcome.status,
+			reason: outcome.reason,
+			server: outcome.serverId,
+			attempts: outcome.attempts,
+			events: outcome.events,
+			firstByteMs: firstByteMs && Math.round(firstByteMs),
+			durationMs: Math.round(durationMs),
+			deadlineMs: head.deadlineMs,
+		});
+		this.#context.stages.record(durationMs, {
+			stage: 'request',
+			route: routeName ?? 'none',
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/services/http-service.ts
@@ -0,0 +1,74 @@
+import {createServer, type RequestListener, type Server} from 'node:http';
+import {splitAddress} from '@marjoramcove/ingress';
+import {Service} from '@marjoramcove/kernel';
+import {chooseEntryAddresses} from '../choose-entry-addresses.ts';
+import type {DirectoryApi} from '../gateway-adapter.ts';
+import type {GatewayContext} from '../gateway-context.ts';
+
+/** Time after which an idle connection of an operator, a platform or a caller is closed. */
+const IDLE_TIMEOUT_MS = 10_000;
+
+/** A listener for calls that are not requests of callers. */
+export class HttpService extends Service {
+	readonly #name: string;
+	readonly #address: string;
+	readonly #server: Server;
+
+	/** @param address - host and port. */
+	constructor(name: string, address: string, listener: RequestListener) {
+		super();
+		this.#name = name;
+		this.#address = address;
+		this.#server = createServer({keepAliveTimeout: IDLE_TIMEOUT_MS}, listener);
+	}
+
+	override get name() {
+		return this.#name;
+	}
+
+	override async start() {
+		const {host, port} = splitAddress(this.#address);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, () => {
+				this.#server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	override async stop() {
+		await new Promise<void>((resolve) => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+}
+
+/** Answers callers that ask which addresses to use, from the view of this daemon. */
+export const createDirectory = ({
+	view,
+	settings,
+}: GatewayContext): DirectoryApi => ({
+	findAddresses({zone}) {
+		const ageMs = performance.now() - view.confirmedAtMs;
+		if (ageMs > settings.timing.configurationLeaseMs) {
+			return undefined;
+		}
+
+		const addresses = chooseEntryAddresses(view.membersOf('entry'), zone);
+		return addresses.length > 0
+			? {addresses, ttlMs: settings.timing.addressTtlMs}
+			: undefined;
+	},
+});
+
+/** Serves metrics as text. */
+export const createMetricsListener =
+	({metrics}: GatewayContext): RequestListener =>
+	(_request, response) => {
+		response.setHeader('Content-Type', 'text/plain; version=0.0.4');
+		response.end(metrics.render());
+	};
--- /dev/null
+++ b/packages/gateway/src/services/inventory-service.ts
@@ -0,0 +1,117 @@
+import {
+	diffServers,
+	type InventorySource,
+	type ListedServer,
+	readWholeList,
+} from '@marjoramcove/inventory';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {ControlService} from './control-service.ts';
+
+/**
+ * Reads the list of servers while this daemon leads the configuration group. There is one reader for
+ * all daemons, because the list takes a limited number of calls.
+ */
+export class InventoryService extends Service {
+	readonly #context: GatewayContext;
+	readonly #source: InventorySource;
+	#control!: ControlService;
+	#timer: NodeJS.Timeout | undefined;
+	#isReading = false;
+	#isFailing = false;
+	#sequence = {term: 0, count: 0};
+
+	constructor(context: GatewayContext) {
+		super();
+		this.#context = context;
+		this.#source = context.adapter.createInventory();
+	}
+
+	override get name() {
+		return 'inventory';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#control = kernel.get<ControlService>('control');
+		const {inventoryPollMs} = this.#context.settings.timing;
+		this.#timer = setInterval(() => {
+			void this.#read();
+		}, inventoryPollMs);
+	}
+
+	override async stop() {
+		clearInterval(this.#timer);
+	}
+
+	async #read(): Promise<void> {
+		const term = this.#control.leaderTerm;
+		if (term === undefined || this.#isReading) {
+			return;
+		}
+
+		this.#isReading = true;
+		try {
+			const {servers, skippedEntries} = await readWholeList(this.#source);
+			this.#noteSuccess(skippedEntries);
+			this.#publish(term, servers);
+		} catch (error) {
+			this.#noteFailure(error);
+		} finally {
+			this.#isReading = false;
+		}
+	}
+
+	#publish(term: number, servers: ListedServer[]): void {
+		const {view, logger} = this.#context;
+		const {added, removed, draining} = diffServers(view.servers, servers);
+		const isUnchanged =
+			JSON.stringify(view.servers) === JSON.stringify(servers);
+		if (isUnchanged && view.topics.servers) {
+			return;
+		}
+
+		this.#sequence =
+			this.#sequence.term === term
+				? {term, count: this.#sequence.count + 1}
+				: {term, count: 0};
+		view.merge({
+			servers: {stamp: {term, sequence: this.#sequence.count}, items: servers},
+		});
+		logger.info({
+			event: 'servers-changed',
+			servers: servers.length,
+			added: added.map(({id}) => id).join(','),
+			removed: removed.map(({id}) => id).join(','),
+			draining: draining.map(({id}) => id).join(','),
+		});
+	}
+
+	#noteSuccess(skippedEntries: number): void {
+		const {metrics, logger} = this.#context;
+		metrics
+			.gauge(
+				'marjoramcove_inventory_skipped_entries',
+				'Entries of the last reading of the list that describe no server.',
+			)
+			.set(skippedEntries);
+		if (this.#isFailing) {
+			this.#isFailing = false;
+			logger.info({event: 'inventory-regained'});
+		}
+	}
+
+	#noteFailure(error: unknown): void {
+		this.#context.retries.increment({
+			step: 'inventory',
+			reason: reasonOf(error),
+		});
+		if (!this.#isFailing) {
+			this.#isFailing = true;
+			this.#context.logger.warn({
+				event: 'inventory-lost',
+				reason: reasonOf(error),
+				error: messageOf(error),
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/services/peers-service.ts
@@ -0,0 +1,89 @@
+import {Service} from '@marjoramcove/kernel';
+import {
+	createPeerRouter,
+	PeerNetwork,
+	PeerServer,
+} from '@marjoramcove/transport';
+import {splitAddress} from '@marjoramcove/ingress';
+import type {GatewayContext} from '../gateway-context.ts';
+
+/**
+ * Links to other daemons. The id of a daemon is its address, so that any daemon can be reached without
+ * a directory.
+ */
+export class PeersService extends Service {
+	readonly network: PeerNetwork;
+	readonly #context: GatewayContext;
+
+	constructor(context: GatewayContext) {
+		super();
+		this.#context = context;
+		const {daemonId, timing} = context.settings;
+		const events = context.metrics.counter(
+			'marjoramcove_link_events_total',
+			'Events of links to other daemons.',
+		);
+		this.network = new PeerNetwork({
+			selfId: daemonId,
+			findAddress(peerId) {
+				return peerId;
+			},
+			link: {
+				heartbeatMs: timing.linkHeartbeatMs,
+				silenceMs: timing.linkSilenceMs,
+			},
+			onEvent(event, {daemonId: peer, channel}) {
+				const reason = event.type === 'link-closed' ? event.reason : undefined;
+				events.increment({event: event.type, ...(reason && {reason})});
+				if (event.type !== 'reconnecting') {
+					context.logger.info({event: event.type, peer, channel, reason});
+				}
+			},
+		});
+	}
+
+	override get name() {
+		return 'peers';
+	}
+
+	override async start() {
+		// The listener starts last, when all procedures are registered.
+	}
+
+	override async stop() {
+		this.network.close();
+	}
+}
+
+/** Serves the procedures of this daemon; registered after all services that add some. */
+export class PeerListenerService extends Service {
+	readonly #context: GatewayContext;
+	readonly #peers: PeersService;
+	#server: PeerServer | undefined;
+
+	constructor(context: GatewayContext, peers: PeersService) {
+		super();
+		this.#context = context;
+		this.#peers = peers;
+	}
+
+	override get name() {
+		return 'peer-listener';
+	}
+
+	override async start() {
+		const {daemonId, timing} = this.#context.settings;
+		const {procedures, posts} = this.#peers.network;
+		this.#server = new PeerServer({
+			listen: splitAddress(daemonId),
+			router: createPeerRouter(procedures),
+			posts,
+			silenceMs: timing.linkSilenceMs,
+		});
+		await this.#server.start();
+	}
+
+	override async stop() {
+		await this.#server?.stop();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/services/store-service.ts
@@ -0,0 +1,237 @@
+import {CommandClock, type ReplicaHost} from '@marjoramcove/consensus';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {
+	encodeTurnCommand,
+	findChain,
+	type TurnCommand,
+	type TurnResult,
+	TurnsMachine,
+} from '@marjoramcove/turns';
+import {
+	asId,
+	type DaemonId,
+	type GroupId,
+	type ProgramId,
+	type RequestId,
+} from '@marjoramcove/types';
+import {
+	chainInput,
+	type ChainOutput,
+	deliverInput,
+	type ReserveInput,
+	reserveInput,
+	type SettleInput,
+	settleInput,
+} from '../contracts.ts';
+import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {FleetService} from './fleet-service.ts';
+import type {PeersService} from './peers-service.ts';
+import {openReplicaHost} from './replica-links.ts';
+
+/** Interval at which the leader of a shard deletes what has expired. */
+const EXPIRY_INTERVAL_MS = 5000;
+
+type Shard = {machine: TurnsMachine; clock: CommandClock};
+
+/** Holds the replicas of the shards that the shard map gives to this disk, and serves their turns. */
+export class StoreService extends Service {
+	readonly #context: GatewayContext;
+	readonly #shards = new Map<GroupId, Shard>();
+	#host!: ReplicaHost;
+	#fleet!: FleetService;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(context: GatewayContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'store';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		const {network} = kernel.get<PeersService>('peers');
+		this.#fleet = kernel.get<FleetService>('fleet');
+		this.#host = await openReplicaHost(this.#context, network);
+		this.#fleet.parts.diskId = this.#host.diskId;
+		network.handlePost('replication.deliver', deliverInput, ({from, batch}) => {
+			this.#host.receive(asId<DaemonId>(from), batch);
+		});
+		network.handle('turns.reserve', reserveInput, async (input) =>
+			this.#reserve(input),
+		);
+		network.handle('turns.settle', settleInput, async (input) =>
+			this.#settle(input),
+		);
+		network.handle('turns.chain', chainInput, async ({turnId, groupId}) =>
+			groupId === undefined
+				? this.#readLocalChain(asId<RequestId>(turnId))
+				: this.#readChainAsLeader(
+						asId<GroupId>(groupId),
+						asId<RequestId>(turnId),
+					),
+		);
+		this.#host.onLeadershipChange((groupId) => {
+			this.#noteLeadership(groupId);
+		});
+		this.#context.view.onChange((topic) => {
+			if (topic === 'shardMap') {
+				void this.#openShards();
+			}
+		});
+		await this.#openShards();
+		this.#timer = setInterval(() => {
+			void this.#expire();
+		}, EXPIRY_INTERVAL_MS);
+	}
+
+	override async drain() {
+		await this.#host.drain();
+	}
+
+	override async stop() {
+		clearInterval(this.#timer);
+		await this.#host.stop();
+	}
+
+	async #openShards(): Promise<void> {
+		const {view, settings, logger} = this.#context;
+		for (const {groupId, voters} of view.topics.shardMap?.shards ?? []) {
+			const isHere = voters.some(
+				({daemonId}) => daemonId === settings.daemonId,
+			);
+			if (!isHere || this.#shards.has(groupId)) {
+				continue;
+			}
+
+			const clock = new CommandClock();
+			const machine = new TurnsMachine((clockMs) => {
+				clock.noteApplied(clockMs);
+			});
+			this.#shards.set(groupId, {machine, clock});
+			try {
+				await this.#host.addGroup(groupId, machine, voters);
+				logger.info({event: 'shard-opened', group: groupId});
+			} catch (error) {
+				this.#context.fail(error);
+			}
+		}
+
+		this.#context.phase =
+			this.#context.phase === 'starting' ? 'ready' : this.#context.phase;
+	}
+
+	async #reserve(input: ReserveInput): Promise<TurnResult> {
+		return this.#propose(asId<GroupId>(input.groupId), (nowMs) => ({
+			type: 'reserve',
+			nowMs,
+			programId: asId<ProgramId>(input.programId),
+			requestId: asId<RequestId>(input.requestId),
+			budgetTokens: input.budgetTokens,
+			maxTokens: input.maxTokens,
+			retentionMs: input.retentionMs,
+		}));
+	}
+
+	async #settle(input: SettleInput): Promise<TurnResult> {
+		const {turn} = input;
+		return this.#propose(asId<GroupId>(input.groupId), (nowMs) => ({
+			type: 'settle',
+			nowMs,
+			programId: asId<ProgramId>(input.programId),
+			requestId: asId<RequestId>(input.requestId),
+			usedTokens: input.usedTokens,
+			retentionMs: input.retentionMs,
+			turn: turn && {
+				text: turn.text,
+				retentionMs: turn.retentionMs,
+				previousId:
+					turn.previousId === undefined
+						? undefined
+						: asId<RequestId>(turn.previousId),
+			},
+		}));
+	}
+
+	async #propose(
+		groupId: GroupId,
+		createCommand: (nowMs: number) => TurnCommand,
+	): Promise<TurnResult> {
+		const startedAtMs = performance.now();
+		const nowMs = this.#shards.get(groupId)?.clock.nowMs() ?? 0;
+		const command = createCommand(nowMs);
+		const {result} = await this.#host.propose(
+			groupId,
+			encodeTurnCommand(command),
+		);
+		this.#context.stages.record(performance.now() - startedAtMs, {
+			stage: `commit-${command.type}`,
+		});
+		return result as TurnResult;
+	}
+
+	/** A finished turn never changes, so what a replica has of a chain is right however old it is. */
+	async #readLocalChain(turnId: RequestId): Promise<ChainOutput> {
+		for (const [groupId, {machine}] of this.#shards) {
+			const ranges = findChain(machine.state, turnId);
+			if (ranges) {
+				const parts = await Promise.all(
+					ranges.map(async ({offset, lengthBytes}) =>
+						this.#host.readHistory(groupId, offset, lengthBytes),
+					),
+				);
+				return {status: 'found', text: Buffer.concat(parts), groupId};
+			}
+		}
+
+		return {status: 'not-here'};
+	}
+
+	async #readChainAsLeader(
+		groupId: GroupId,
+		turnId: RequestId,
+	): Promise<ChainOutput> {
+		await this.#host.readBarrier(groupId);
+		const output = await this.#readLocalChain(turnId);
+		return output.status === 'found' ? output : {status: 'not-in-group'};
+	}
+
+	#noteLeadership(changedId: GroupId): void {
+		const {isLeader, leaderId, term} = this.#host.leadership(changedId);
+		this.#context.logger.info({
+			event: 'leadership-changed',
+			group: changedId,
+			leader: leaderId,
+			term,
+			isLeader,
+		});
+		this.#fleet.parts.ledGroups = [...this.#shards.keys()].flatMap(
+			(groupId) => {
+				const leadership = this.#host.leadership(groupId);
+				return leadership.isLeader ? [{groupId, term: leadership.term}] : [];
+			},
+		);
+		void this.#fleet.reportNow();
+	}
+
+	async #expire(): Promise<void> {
+		for (const groupId of this.#shards.keys()) {
+			if (!this.#host.leadership(groupId).isLeader) {
+				continue;
+			}
+
+			try {
+				await this.#propose(groupId, (nowMs) => ({type: 'expire', nowMs}));
+			} catch (error) {
+				// The next interval, or the next leader, repeats it.
+				this.#context.logger.warn({
+					event: 'expiry-failed',
+					group: groupId,
+					reason: reasonOf(error),
+					error: messageOf(error),
+				});
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/services/turns-service.ts
@@ -0,0 +1,273 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {MarjoramcoveError, RefusedError} from '@marjoramcove/errors';
+import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import type {TurnResult} from '@marjoramcove/turns';
+import type {
+	DaemonId,
+	GroupId,
+	ProgramId,
+	RequestId,
+} from '@marjoramcove/types';
+import type {ChainOutput, ReserveInput, SettleInput} from '../contracts.ts';
+import {chooseShard} from '../choose-shard.ts';
+import {type GatewayContext, reasonOf} from '../gateway-context.ts';
+import type {PeersService} from './peers-service.ts';
+
+/** Time for one call to a shard leader; a commit takes a few milliseconds, an election a second. */
+const CALL_TIMEOUT_MS = 500;
+
+const RETRY_MS = 30;
+
+/** Time for a replica of the own zone to read a chain before the leaders are asked. */
+const LOCAL_CHAIN_TIMEOUT_MS = 300;
+
+/** Time for which the settlement of a turn is repeated when nobody waits for it. */
+const BACKGROUND_SETTLE_MS = 20_000;
+
+/** A call to the shards with the time by which the answer is of use. */
+type Deadline = {deadlineMs: number};
+
+/** Reaches the shards of programs from an entry daemon. Every call may be repeated. */
+export class TurnsService extends Service {
+	readonly #context: GatewayContext;
+	/** Leaders that other replicas named; newer than the view for a moment. */
+	readonly #hints = new Map<GroupId, DaemonId>();
+	#peers!: PeersService;
+	#isStopped = false;
+
+	constructor(context: GatewayContext) {
+		super();
+		this.#context = context;
+	}
+
+	override get name() {
+		return 'turns';
+	}
+
+	override async start(kernel: ServiceDirectory) {
+		this.#peers = kernel.get<PeersService>('peers');
+		this.#context.view.onChange((topic) => {
+			if (topic === 'members') {
+				this.#hints.clear();
+			}
+		});
+	}
+
+	override async stop() {
+		this.#isStopped = true;
+	}
+
+	/** Whether the shards are placed. */
+	get isReady(): boolean {
+		return (this.#context.view.topics.shardMap?.version ?? 0) > 0;
+	}
+
+	/**
+	 * Shard of a program.
+	 *
+	 * @throws RefusedError while the shards are not placed.
+	 */
+	shardOf(programId: ProgramId): GroupId {
+		const shards = this.#context.view.topics.shardMap?.shards ?? [];
+		if (shards.length === 0) {
+			throw new RefusedError('The shards are not placed yet.', {
+				reason: 'shards-unknown',
+				hint: 'Retry after a second.',
+			});
+		}
+
+		return chooseShard(
+			programId,
+			shards.map(({groupId}) => groupId),
+		);
+	}
+
+	async reserve(
+		input: Omit<ReserveInput, 'groupId'>,
+		{deadlineMs}: Deadline,
+	): Promise<TurnResult> {
+		const groupId = this.shardOf(input.programId as ProgramId);
+		return this.#callLeader<TurnResult>(
+			groupId,
+			'turns.reserve',
+			{...input, groupId},
+			deadlineMs,
+		);
+	}
+
+	async settle(
+		input: Omit<SettleInput, 'groupId'>,
+		{deadlineMs}: Deadline,
+	): Promise<TurnResult> {
+		const groupId = this.shardOf(input.programId as ProgramId);
+		return this.#callLeader<TurnResult>(
+			groupId,
+			'turns.settle',
+			{...input, groupId},
+			deadlineMs,
+		);
+	}
+
+	/** Settles a turn that nobody waits for. Until it succeeds the reservation stays charged. */
+	async settleInBackground(input: Omit<SettleInput, 'groupId'>): Promise<void> {
+		try {
+			await this.settle(input, {
+				deadlineMs: performance.now() + BACKGROUND_SETTLE_MS,
+			});
+		} catch (error) {
+			this.#context.logger.warn({
+				event: 'turn-not-settled',
+				request: input.requestId,
+				program: input.programId,
+				usedTokens: input.usedTokens,
+				reason: reasonOf(error),
+			});
+		}
+	}
+
+	/**
+	 * Reads the text of a turn and of everything before it.
+	 *
+	 * @returns `undefined` when every shard is certain that there is no such turn.
+	 * @throws MarjoramcoveError when that cannot be found out in time.
+	 */
+	async readChain(
+		turnId: RequestId,
+		{deadlineMs}: Deadline,
+	): Promise<{text: Uint8Array; groupId: GroupId} | undefined> {
+		const local = await this.#readChainNearby(turnId);
+		if (local) {
+			return local;
+		}
+
+		const shards = this.#context.view.topics.shardMap?.shards ?? [];
+		const outputs = await Promise.all(
+			shards.map(async ({groupId}) =>
+				this.#callLeader<ChainOutput>(
+					groupId,
+					'turns.chain',
+					{turnId, groupId},
+					deadlineMs,
+				),
+			),
+		);
+		const found = outputs.find((output) => output.status === 'found');
+		return found && {text: found.text, groupId: found.groupId as GroupId};
+	}
+
+	async #readChainNearby(
+		turnId: RequestId,
+	): Promise<{text: Uint8Array; groupId: GroupId} | undefined> {
+		const {settings, view} = this.#context;
+		const nearby = view
+			.membersOf('state')
+			.find(({zone, phase}) => zone === settings.zone && phase === 'ready');
+		if (!nearby) {
+			return undefined;
+		}
+
+		try {
+			const output = await this.#peers.network.call<ChainOutput>(
+				nearby.daemonId,
+				'turns.chain',
+				{turnId},
+				{timeoutMs: LOCAL_CHAIN_TIMEOUT_MS},
+			);
+			return output.status === 'found'
+				? {text: output.text, groupId: output.groupId as GroupId}
+				: undefined;
+		} catch (error) {
+			this.#context.retries.increment({
+				step: 'read-chain',
+				reason: reasonOf(error),
+			});
+			return undefined;
+		}
+	}
+
+	/** Calls the leader of a group until it answers or the time is over. */
+	async #callLeader<Output>(
+		groupId: GroupId,
+		path: string,
+		input: unknown,
+		deadlineMs: number,
+	): Promise<Output> {
+		let lastError: Error | undefined;
+		while (performance.now() < deadlineMs && !this.#isStopped) {
+			const leaderId = this.#findLeader(groupId);
+			if (leaderId === undefined) {
+				await sleep(RETRY_MS);
+				continue;
+			}
+
+			try {
+				return await this.#peers.network.call<Output>(leaderId, path, input, {
+					timeoutMs: Math.min(
+						CALL_TIMEOUT_MS,
+						Math.max(1, deadlineMs - performance.now()),
+					),
+				});
+			} catch (error) {
+				lastError = error as Error;
+				this.#context.retries.increment({
+					step: path,
+					reason: reasonOf(error),
+				});
+				this.#noteFailedLeader(groupId, leaderId, error);
+				await sleep(RETRY_MS);
+			}
+		}
+
+		throw (
+			lastError ??
+			new RefusedError(`Group ${groupId} has no leader.`, {
+				reason: 'shard-unavailable',
+				hint: 'Retry after a second.',
+			})
+		);
+	}
+
+	#findLeader(groupId: GroupId): DaemonId | undefined {
+		const hint = this.#hints.get(groupId);
+		if (hint !== undefined) {
+			return hint;
+		}
+
+		let best: {daemonId: DaemonId; term: number} | undefined;
+		for (const {daemonId, ledGroups} of this.#context.view.members) {
+			const led = ledGroups.find((group) => group.groupId === groupId);
+			if (led && led.term > (best?.term ?? 0)) {
+				best = {daemonId, term: led.term};
+			}
+		}
+
+		return best?.daemonId;
+	}
+
+	/** A replica that does not lead names the leader; one that does not answer is passed over. */
+	#noteFailedLeader(
+		groupId: GroupId,
+		leaderId: DaemonId,
+		error: unknown,
+	): void {
+		const named =
+			error instanceof MarjoramcoveError && error.reason === 'not-leader'
+				? (error.data?.leaderId as DaemonId | undefined)
+				: undefined;
+		if (named !== undefined) {
+			this.#hints.set(groupId, named);
+			return;
+		}
+
+		const voters = this.#context.view.topics.shardMap?.shards.find(
+			(shard) => shard.groupId === groupId,
+		)?.voters;
+		const others = (voters ?? [])
+			.map(({daemonId}) => daemonId)
+			.filter((daemonId) => daemonId !== leaderId);
+		const next = others[Math.floor(Math.random() * others.length)];
+		if (next !== undefined) {
+			this.#hints.set(groupId, next);
+		}
+	}
+}
--- /dev/null
+++ b/packages/inventory/src/index.ts
@@ -0,0 +1,7 @@
+export {diffServers, type ServerChanges} from './diff-servers.ts';
+export {
+	type InventoryPage,
+	InventorySource,
+	type ListedServer,
+} from './listed-server.ts';
+export {readWholeList} from './read-whole-list.ts';
--- /dev/null
+++ b/packages/routes/src/document.fixture.ts
@@ -0,0 +1,37 @@
+import type {Route, RoutingDocument} from './routing-document.ts';
+
+/** A route for tests; `changes` replaces fields. */
+export const createRoute = (changes: Partial<Route> = {}): Route => ({
+	name: 'r-1',
+	host: 'example.test',
+	pathPrefix: '/desk/',
+	kind: 'idempotent',
+	services: [{service: 'desk', weight: 1}],
+	timeoutMs: 1000,
+	targetLatencyMs: 100,
+	targetGapMs: 0,
+	priority: 0,
+	maxAttempts: 2,
+	isResumable: false,
+	hasPrompt: false,
+	keepsTurns: false,
+	retentionMs: 0,
+	...changes,
+});
+
+/** A document for tests with the services `desk` and `models`. */
+export const createDocument = (routes: Route[]): RoutingDocument => ({
+	version: 1,
+	routes,
+	services: ['desk', 'models'].map((name) => ({
+		name,
+		healthPath: '/health',
+		maxConnections: 10,
+	})),
+	limits: {
+		headerSizeBytes: 16_384,
+		bodySizeBytes: 1_000_000,
+		headerTimeoutMs: 3000,
+		idleTimeoutMs: 15_000,
+	},
+});
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -15,3 +15,8 @@
 	type StreamProcedure,
 } from './peer-router.ts';
 export {PeerServer, type PeerServerOptions} from './peer-server.ts';
+export {
+	type PeerChannel,
+	PeerNetwork,
+	type PeerNetworkOptions,
+} from './peer-network.ts';
--- /dev/null
+++ b/packages/turns/src/index.ts
@@ -0,0 +1,10 @@
+export {
+	createTurnsState,
+	type TurnCommand,
+	type TurnRecord,
+	type TurnResult,
+	type TurnsState,
+} from './turns-state.ts';
+export {findChain, type TextRange} from './find-chain.ts';
+export {stepTurns} from './step-turns.ts';
+export {encodeTurnCommand, TurnsMachine} from './turns-machine.ts';
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,9 +19,9 @@
 		},
 	},
 	{
-		files: ['**/*.test.ts', '**/*.config.ts'],
+		files: ['**/*.test.ts', '**/*.config.ts', 'platform/build.mjs'],
 		rules: {
-			// Test libraries are dependencies of the workspace root.
+			// Test libraries and the bundler are dependencies of the workspace root.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
 			'max-nested-callbacks': 'off',
