Replace lost copies without an operator, and empty disks on order

replica-planner decides, RepairService carries it out through the membership changes of consensus. An order to empty a disk is part of the shard map, and counts as done when the newest leader of every shard reports all its copies on other disks.

The tests of the front found that a transfer coding without chunked was accepted; it is answered with 400 now.

--- a/packages/control-state/src/step-control.test.ts
+++ b/packages/control-state/src/step-control.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import {asId, type DiskId} from '@marjoramcove/types';
 import {describe, expect, it} from 'vitest';
 import {ControlMachine, encodeControlCommand} from './control-machine.ts';
 import {createControlState, stepControl} from './step-control.ts';
@@ -50,6 +51,20 @@
 	});
 });
 
+describe('retire-disk', () => {
+	it('acknowledges a repeated order without another effect', () => {
+		const order = {
+			type: 'retire-disk' as const,
+			diskId: asId<DiskId>('disk-1'),
+		};
+		const first = stepControl(createControlState(), order);
+		const second = stepControl(first.state, order);
+		expect(first.state.shardMap.retiringDisks).toEqual(['disk-1']);
+		expect(second.result.status).toBe('superseded');
+		expect(second.state).toBe(first.state);
+	});
+});
+
 describe('ControlMachine', () => {
 	it('has the same state after a snapshot', () => {
 		const machine = new ControlMachine();
--- a/packages/control-state/src/step-control.ts
+++ b/packages/control-state/src/step-control.ts
@@ -10,7 +10,13 @@
 };
 
 /** Where the shards of the programs live; version 0 has none. */
-export type ShardMap = {version: number; shards: ShardAssignment[]};
+export type ShardMap = {
+	version: number;
+	/** First placement; the groups themselves know where their copies are now. */
+	shards: ShardAssignment[];
+	/** Disks that are being emptied, or were. */
+	retiringDisks: DiskId[];
+};
 
 export type ControlState = {
 	document: StoredDocument | undefined;
@@ -19,7 +25,9 @@
 
 export type ControlCommand =
 	| {type: 'put-document'; version: number; bytes: Uint8Array}
-	| {type: 'set-shards'; baseVersion: number; shards: ShardAssignment[]};
+	| {type: 'set-shards'; baseVersion: number; shards: ShardAssignment[]}
+	/** Empties a disk; the disk counts, so that a new one in the same VM is free to be used. */
+	| {type: 'retire-disk'; diskId: DiskId};
 
 export type ControlResult =
 	/** The document is in force now. */
@@ -39,7 +47,7 @@
  */
 export const createControlState = (): ControlState => ({
 	document: undefined,
-	shardMap: {version: 0, shards: []},
+	shardMap: {version: 0, shards: [], retiringDisks: []},
 });
 
 const putDocument = (
@@ -57,6 +65,26 @@
 	};
 };
 
+const retireDisk = (
+	state: ControlState,
+	diskId: DiskId,
+): {state: ControlState; result: ControlResult} => {
+	const {version, shards, retiringDisks} = state.shardMap;
+	if (retiringDisks.includes(diskId)) {
+		return {state, result: {status: 'superseded', version}};
+	}
+
+	const shardMap = {
+		version: version + 1,
+		shards,
+		retiringDisks: [...retiringDisks, diskId],
+	};
+	return {
+		state: {...state, shardMap},
+		result: {status: 'accepted', version: shardMap.version},
+	};
+};
+
 /**
  * Applies a command.
  *
@@ -73,12 +101,20 @@
 		return putDocument(state, command);
 	}
 
-	const {version} = state.shardMap;
+	const {version, retiringDisks} = state.shardMap;
+	if (command.type === 'retire-disk') {
+		return retireDisk(state, command.diskId);
+	}
+
 	if (command.baseVersion !== version) {
 		return {state, result: {status: 'conflict', version}};
 	}
 
-	const shardMap = {version: version + 1, shards: command.shards};
+	const shardMap = {
+		version: version + 1,
+		shards: command.shards,
+		retiringDisks,
+	};
 	return {
 		state: {...state, shardMap},
 		result: {status: 'accepted', version: shardMap.version},
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -12,7 +12,12 @@
 export type MemberPhase = 'starting' | 'ready' | 'draining';
 
 /** A replicated group that a daemon leads. */
-export type LedGroup = {groupId: GroupId; term: number};
+export type LedGroup = {
+	groupId: GroupId;
+	term: number;
+	/** Disks with a copy that counts. */
+	voters: DiskId[];
+};
 
 /** What a daemon tells of itself. */
 export type FleetMember = {
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -40,6 +40,8 @@
 
 export const putDocumentInput = z.object({version: z.number(), bytes});
 
+export const memberInput = z.object({memberName: z.string()});
+
 export const reserveInput = z.object({
 	groupId: z.string(),
 	programId: z.string(),
--- a/packages/gateway/src/gateway-adapter.ts
+++ b/packages/gateway/src/gateway-adapter.ts
@@ -18,6 +18,19 @@
 	 * @throws MarjoramcoveError when a quorum cannot confirm which one is the newest.
 	 */
 	readDocument: () => Promise<Uint8Array | undefined>;
+	/**
+	 * Starts to empty the disk of a `state` daemon.
+	 *
+	 * @throws RefusedError `member-unknown` when no daemon has this name, `too-few-disks` when too few
+	 * would be left, or another error when the order should be repeated.
+	 */
+	retireDisk: (memberName: string) => Promise<void>;
+	/**
+	 * Whether every copy that the disk held has its full number elsewhere.
+	 *
+	 * @throws RefusedError `member-unknown` when no daemon has this name.
+	 */
+	isDiskEmpty: (memberName: string) => Promise<boolean>;
 };
 
 /** What callers can ask of a directory. */
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -19,6 +19,7 @@
 } from './services/http-service.ts';
 import {InventoryService} from './services/inventory-service.ts';
 import {PeerListenerService, PeersService} from './services/peers-service.ts';
+import {RepairService} from './services/repair-service.ts';
 import {ShardPlannerService} from './services/shard-planner-service.ts';
 import {StoreService} from './services/store-service.ts';
 import {TurnsService} from './services/turns-service.ts';
@@ -38,6 +39,7 @@
 	const {control: controlAddress, directory} = settings.listen;
 	return [
 		control,
+		new RepairService(context, control),
 		new ShardPlannerService(context),
 		new InventoryService(context),
 		new PeerListenerService(context, peers),
@@ -103,9 +105,11 @@
 		}
 
 		case 'state': {
+			const store = new StoreService(context);
 			return [
 				...common,
-				new StoreService(context),
+				store,
+				new RepairService(context, store),
 				new PeerListenerService(context, peers),
 			];
 		}
--- a/packages/gateway/src/services/control-service.ts
+++ b/packages/gateway/src/services/control-service.ts
@@ -9,12 +9,16 @@
 	NotLeaderError,
 	RefusedError,
 } from '@marjoramcove/errors';
-import {describeMembers, noteReport} from '@marjoramcove/fleet';
+import {
+	describeMembers,
+	type FleetMember,
+	noteReport,
+} from '@marjoramcove/fleet';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {checkDocument} from '@marjoramcove/routes';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
 import {z} from 'zod';
-import {deliverInput, putDocumentInput} from '../contracts.ts';
+import {deliverInput, memberInput, putDocumentInput} from '../contracts.ts';
 import type {OperatorApi} from '../gateway-adapter.ts';
 import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
@@ -34,6 +38,8 @@
 export class ControlService extends Service implements OperatorApi {
 	readonly machine: ControlMachine;
 	readonly #context: GatewayContext;
+	/** Names and disks of the daemons with programs that were ever seen, for orders to empty them. */
+	readonly #knownStores = new Map<string, FleetMember>();
 	#host: ReplicaHost | undefined;
 	#peers!: PeersService;
 	#fleet!: FleetService;
@@ -54,6 +60,10 @@
 		return 'control';
 	}
 
+	get host(): ReplicaHost | undefined {
+		return this.#host;
+	}
+
 	/** Term of the leadership of this daemon, `undefined` while another one leads. */
 	get leaderTerm(): number | undefined {
 		const leadership = this.#host?.leadership(CONTROL_GROUP);
@@ -83,11 +93,18 @@
 		host.onLeadershipChange(() => {
 			this.#noteLeadership();
 		});
+		// Only the first start may form the group; an empty disk that comes later waits to be added.
+		const initialVoters = settings.isFirstFormation ? settings.seeds : [];
 		await host.addGroup(
 			CONTROL_GROUP,
 			this.machine,
-			settings.seeds.map((daemonId) => ({daemonId})),
+			initialVoters.map((daemonId) => ({daemonId})),
 		);
+		this.#context.view.onChange((topic) => {
+			if (topic === 'members') {
+				this.#noteStores();
+			}
+		});
 		this.#timer = setInterval(() => {
 			void this.#tick();
 		}, LEADER_TICK_MS);
@@ -144,8 +161,102 @@
 		return bytes;
 	}
 
+	async retireDisk(memberName: string): Promise<void> {
+		await this.#askLeader('control.retire-disk', {memberName});
+		this.#context.logger.info({event: 'disk-retiring', member: memberName});
+	}
+
+	async isDiskEmpty(memberName: string): Promise<boolean> {
+		const {isEmpty} = await this.#askLeader<{isEmpty: boolean}>(
+			'control.is-disk-empty',
+			{memberName},
+		);
+		return isEmpty;
+	}
+
+	#noteStores(): void {
+		for (const member of this.#context.view.membersOf('state')) {
+			this.#knownStores.set(member.name, member);
+		}
+	}
+
+	/** @throws RefusedError when no daemon with programs had this name. */
+	#findStore(memberName: string): FleetMember {
+		const store = this.#knownStores.get(memberName);
+		if (!store) {
+			throw new RefusedError(`No state daemon is named ${memberName}.`, {
+				reason: 'member-unknown',
+				hint: `Known names: ${[...this.#knownStores.keys()].join(', ')}.`,
+			});
+		}
+
+		return store;
+	}
+
+	async #retireAsLeader(memberName: string): Promise<void> {
+		const {diskId} = this.#findStore(memberName);
+		const retiring = new Set(this.machine.state.shardMap.retiringDisks);
+		if (diskId === undefined || retiring.has(diskId)) {
+			return;
+		}
+
+		const left = [...this.#knownStores.values()].filter(
+			(store) =>
+				store.diskId !== undefined &&
+				store.diskId !== diskId &&
+				!retiring.has(store.diskId),
+		);
+		const {factor} = this.#context.settings.replication;
+		if (left.length < factor) {
+			throw new RefusedError(
+				`Only ${left.length} disks would be left for ${factor} copies.`,
+				{reason: 'too-few-disks', hint: 'Add a state daemon first.'},
+			);
+		}
+
+		await this.#host!.propose(
+			CONTROL_GROUP,
+			encodeControlCommand({type: 'retire-disk', diskId}),
+		);
+	}
+
+	/** Every shard must report, by its newest leader, all its copies on other disks. */
+	#isEmptyAsLeader(memberName: string): boolean {
+		const {diskId} = this.#findStore(memberName);
+		const {shardMap} = this.machine.state;
+		const {factor} = this.#context.settings.replication;
+		if (diskId === undefined || !shardMap.retiringDisks.includes(diskId)) {
+			return false;
+		}
+
+		const led = this.#context.view.members.flatMap(({ledGroups}) => ledGroups);
+		return shardMap.shards.every(({groupId}) => {
+			const newest = led
+				.filter((group) => group.groupId === groupId)
+				.toSorted((a, b) => b.term - a.term)[0];
+			return (
+				newest !== undefined &&
+				newest.voters.length >= factor &&
+				!newest.voters.includes(diskId)
+			);
+		});
+	}
+
 	#serve(): void {
 		const {network} = this.#peers;
+		network.handle('control.retire-disk', memberInput, async ({memberName}) => {
+			await this.#host!.readBarrier(CONTROL_GROUP);
+			await this.#retireAsLeader(memberName);
+			return {};
+		});
+		network.handle(
+			'control.is-disk-empty',
+			memberInput,
+			async ({memberName}) => {
+				await this.#host!.readBarrier(CONTROL_GROUP);
+				return {isEmpty: this.#isEmptyAsLeader(memberName)};
+			},
+		);
 		network.handle('control.put-document', putDocumentInput, async (input) => {
 			const {result} = await this.#host!.propose(
 				CONTROL_GROUP,
--- a/packages/gateway/src/services/store-service.ts
+++ b/packages/gateway/src/services/store-service.ts
@@ -31,6 +31,9 @@
 /** Interval at which the leader of a shard deletes what has expired. */
 const EXPIRY_INTERVAL_MS = 5000;
 
+/** Interval at which changes of the copies of led groups are reported. */
+const REPORT_INTERVAL_MS = 200;
+
 type Shard = {machine: TurnsMachine; clock: CommandClock};
 
 /** Holds the replicas of the shards that the shard map gives to this disk, and serves their turns. */
@@ -39,7 +42,7 @@
 	readonly #shards = new Map<GroupId, Shard>();
 	#host!: ReplicaHost;
 	#fleet!: FleetService;
-	#timer: NodeJS.Timeout | undefined;
+	#timers: NodeJS.Timeout[] = [];
 
 	constructor(context: GatewayContext) {
 		super();
@@ -50,6 +53,10 @@
 		return 'store';
 	}
 
+	get host(): ReplicaHost | undefined {
+		return this.#host;
+	}
+
 	override async start(kernel: ServiceDirectory) {
 		const {network} = kernel.get<PeersService>('peers');
 		this.#fleet = kernel.get<FleetService>('fleet');
@@ -81,9 +88,14 @@
 			}
 		});
 		await this.#openShards();
-		this.#timer = setInterval(() => {
-			void this.#expire();
-		}, EXPIRY_INTERVAL_MS);
+		this.#timers = [
+			setInterval(() => {
+				void this.#expire();
+			}, EXPIRY_INTERVAL_MS),
+			setInterval(() => {
+				this.#reportLedGroups();
+			}, REPORT_INTERVAL_MS),
+		];
 	}
 
 	override async drain() {
@@ -91,17 +103,18 @@
 	}
 
 	override async stop() {
-		clearInterval(this.#timer);
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		await this.#host.stop();
 	}
 
 	async #openShards(): Promise<void> {
-		const {view, settings, logger} = this.#context;
+		const {view, logger} = this.#context;
 		for (const {groupId, voters} of view.topics.shardMap?.shards ?? []) {
-			const isHere = voters.some(
-				({daemonId}) => daemonId === settings.daemonId,
-			);
-			if (!isHere || this.#shards.has(groupId)) {
+			// A disk that holds no copy opens the group as well: it can then be added at any time.
+			if (this.#shards.has(groupId)) {
 				continue;
 			}
 
@@ -206,13 +219,26 @@
 			term,
 			isLeader,
 		});
-		this.#fleet.parts.ledGroups = [...this.#shards.keys()].flatMap(
-			(groupId) => {
-				const leadership = this.#host.leadership(groupId);
-				return leadership.isLeader ? [{groupId, term: leadership.term}] : [];
-			},
-		);
-		void this.#fleet.reportNow();
+		this.#reportLedGroups();
+	}
+
+	/** Tells the control daemons which groups this daemon leads and where their copies are. */
+	#reportLedGroups(): void {
+		const ledGroups = this.#host
+			.status()
+			.filter(({role}) => role === 'leader')
+			.map(({groupId, term, replicas}) => ({
+				groupId,
+				term,
+				voters: replicas
+					.filter(({role}) => role === 'voter')
+					.map(({diskId}) => diskId),
+			}));
+		const {parts} = this.#fleet;
+		if (JSON.stringify(ledGroups) !== JSON.stringify(parts.ledGroups)) {
+			parts.ledGroups = ledGroups;
+			void this.#fleet.reportNow();
+		}
 	}
 
 	async #expire(): Promise<void> {
--- /dev/null
+++ b/packages/ingress/src/header-list.test.ts
@@ -0,0 +1,36 @@
+import {describe, expect, it} from 'vitest';
+import {readRawHeaders, withoutConnectionHeaders} from './header-list.ts';
+import {StreamReader} from './stream-reader.ts';
+
+describe('withoutConnectionHeaders', () => {
+	it('leaves out what concerns one connection, also when Connection names it', () => {
+		const headers = readRawHeaders([
+			'Connection',
+			'close, X-Hop',
+			'X-Hop',
+			'1',
+			'Transfer-Encoding',
+			'chunked',
+			'X-Kept',
+			'2',
+		]);
+		expect(withoutConnectionHeaders(headers)).toEqual([['X-Kept', '2']]);
+	});
+});
+
+describe('StreamReader', () => {
+	it('counts whole events, also when a chunk ends in the middle of one', () => {
+		const reader = new StreamReader();
+		reader.push(Buffer.from('id: 1\ndata: one\n\nid: 2\nda'));
+		expect(reader.eventCount).toBe(1);
+		reader.push(Buffer.from('ta: two\n\n'));
+		expect(reader.eventCount).toBe(2);
+		expect(reader.lastEventId).toBe('2');
+	});
+
+	it('keeps the bytes of the data, each event followed by a line feed', () => {
+		const reader = new StreamReader();
+		reader.push(Buffer.from('data: \u00E9\u4E00\n\ndata: x\n\n'));
+		expect(reader.text()).toEqual(Buffer.from('\u00E9\u4E00\nx\n'));
+	});
+});
--- /dev/null
+++ b/packages/ingress/src/ingress-server.test.ts
@@ -0,0 +1,188 @@
+import {connect} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import type {CallerExchange} from './caller-exchange.ts';
+import {IngressServer, type MalformedRequest} from './ingress-server.ts';
+
+const BODY_LIMIT_BYTES = 100;
+
+/** Sends bytes on a new connection and resolves with everything that comes back. */
+const talk = async (port: number, text: string): Promise<string> =>
+	new Promise((resolve, reject) => {
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(text, 'latin1');
+		});
+		let received = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		socket.on('close', () => {
+			resolve(received);
+		});
+		socket.on('error', reject);
+	});
+
+describe('IngressServer', () => {
+	let server: IngressServer;
+	let port: number;
+	let seen: Array<{target: string; body: string}>;
+	let malformed: MalformedRequest[];
+
+	const serve = async (exchange: CallerExchange) => {
+		try {
+			const body = await exchange.readBody(BODY_LIMIT_BYTES);
+			seen.push({target: exchange.target, body: body.toString('latin1')});
+			exchange.answer(200, [['X-Answer', '1']], Buffer.from('fine'));
+		} catch {
+			exchange.closeAfterAnswer();
+			exchange.answer(413, [], Buffer.alloc(0));
+		}
+	};
+
+	beforeEach(async () => {
+		seen = [];
+		malformed = [];
+		server = new IngressServer({
+			address: '127.0.0.1:0',
+			onRequest(exchange) {
+				void serve(exchange);
+			},
+			onMalformed(request) {
+				malformed.push(request);
+			},
+		});
+		server.applyLimits({
+			headerSizeBytes: 16_384,
+			bodySizeBytes: BODY_LIMIT_BYTES,
+			headerTimeoutMs: 600,
+			idleTimeoutMs: 300,
+		});
+		port = await server.start();
+	});
+
+	afterEach(async () => {
+		await server.stop();
+	});
+
+	it('passes target and body on as they were sent', async () => {
+		const received = await talk(
+			port,
+			'POST /a%2Fb?x=%00&y HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\n\u0000\u00FF\r\n0\r\n\r\n',
+		);
+		expect(received).toMatch(/^HTTP\/1\.1 200 /u);
+		expect(seen).toEqual([{target: '/a%2Fb?x=%00&y', body: 'abc\u0000\u00FF'}]);
+	});
+
+	describe('a head that could be read in two ways', () => {
+		const heads: Array<[string, string]> = [
+			[
+				'both kinds of length',
+				'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n',
+			],
+			[
+				'two lengths',
+				'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 39\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n',
+			],
+			[
+				'a length that is no number',
+				'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd',
+			],
+			[
+				'a space before the colon',
+				'POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd',
+			],
+			[
+				'an unknown transfer coding',
+				'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
+			],
+			['no host', 'GET / HTTP/1.1\r\n\r\n'],
+			['a control character', 'GET /\u0001 HTTP/1.1\r\nHost: h\r\n\r\n'],
+			['no request line', 'hello\r\n\r\n'],
+		];
+		it.each(heads)(
+			'is answered with a 4xx and nothing is passed on: %s',
+			async (_name, text) => {
+				const received = await talk(port, text);
+				expect(received).toMatch(/^HTTP\/1\.1 4\d\d /u);
+				expect(received.match(/HTTP\/1\.1/gu)).toHaveLength(1);
+				expect(seen).toEqual([]);
+			},
+		);
+	});
+
+	it('answers 413 to a body over the limit and closes the connection', async () => {
+		const received = await talk(
+			port,
+			`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n${'x'.repeat(101)}`,
+		);
+		expect(received).toMatch(/^HTTP\/1\.1 413 /u);
+		expect(seen).toEqual([]);
+	});
+
+	it('answers 431 to a head over the limit of the parser', async () => {
+		const received = await talk(
+			port,
+			`GET / HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(300_000)}\r\n\r\n`,
+		);
+		expect(received).toMatch(/^HTTP\/1\.1 431 /u);
+		expect(malformed[0]).toMatchObject({status: 431});
+	});
+
+	it('closes a connection whose head does not arrive in time', async () => {
+		const received = await talk(port, 'GET / HTTP/1.1\r\nHost: h\r\nX-Slow: ');
+		expect(received).toMatch(/^HTTP\/1\.1 408 /u);
+		expect(seen).toEqual([]);
+	});
+
+	it('puts no bytes of its own into an answer that is under way', async () => {
+		const received = await talk(
+			port,
+			'GET /first HTTP/1.1\r\nHost: h\r\n\r\nnonsense\r\n\r\n',
+		);
+		expect(received).toMatch(/^HTTP\/1\.1 200 /u);
+		expect(received.endsWith('fine')).toBe(true);
+		expect(received.match(/HTTP\/1\.1/gu)).toHaveLength(1);
+	});
+});
+
+describe('CallerExchange', () => {
+	it('tells at once when the caller leaves before the answer', async () => {
+		let report: (value: boolean) => void;
+		const left = new Promise<boolean>((resolve) => {
+			report = resolve;
+		});
+		const server = new IngressServer({
+			address: '127.0.0.1:0',
+			onRequest(exchange) {
+				exchange.abandoned.addEventListener('abort', () => {
+					report(true);
+				});
+				socket.destroy();
+			},
+		});
+		const port = await server.start();
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+		});
+		expect(await left).toBe(true);
+		await server.stop();
+	});
+
+	it('breaks an answer off visibly', async () => {
+		const server = new IngressServer({
+			address: '127.0.0.1:0',
+			onRequest(exchange) {
+				exchange.start(200, []);
+				exchange.write(Buffer.from('part'));
+				setTimeout(() => {
+					exchange.breakOff();
+				}, 20);
+			},
+		});
+		const port = await server.start();
+		const received = await talk(port, 'GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+		expect(received).toContain('part');
+		expect(received).not.toMatch(/0\r\n\r\n$/u);
+		await server.stop();
+	});
+});
--- a/packages/ingress/src/ingress-server.ts
+++ b/packages/ingress/src/ingress-server.ts
@@ -75,6 +75,18 @@
 			},
 			(request, response) => {
 				const {socket} = request;
+				const coding = request.headers['transfer-encoding'];
+				if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+					// The parser does not know where such a body ends.
+					this.#refuseMalformed(
+						Object.assign(new Error(`The transfer coding is ${coding}.`), {
+							code: 'UNKNOWN_TRANSFER_CODING',
+						}),
+						socket,
+					);
+					return;
+				}
+
 				const exchange = new CallerExchange(request, response);
 				this.#open.add(exchange);
 				this.#countActive(socket, 1);
--- /dev/null
+++ b/packages/ingress/src/upstream-client.test.ts
@@ -0,0 +1,165 @@
+import {
+	createServer,
+	type Server,
+	type Socket,
+	type AddressInfo,
+} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {UpstreamClient, type UpstreamFailure} from './upstream-client.ts';
+
+type Outcome = {
+	status?: number;
+	body: string;
+	failure?: UpstreamFailure;
+	isComplete: boolean;
+};
+
+describe('UpstreamClient', () => {
+	let server: Server | undefined;
+	let client: UpstreamClient | undefined;
+
+	afterEach(async () => {
+		await client?.close();
+		server?.close();
+	});
+
+	/** A server that answers with raw bytes; `react` gets each request text. */
+	const startServer = async (
+		react: (text: string, socket: Socket) => void,
+	): Promise<string> => {
+		server = createServer((socket) => {
+			socket.on('data', (chunk) => {
+				react(chunk.toString('latin1'), socket);
+			});
+			socket.on('error', () => undefined);
+		});
+		await new Promise<void>((resolve) => {
+			server!.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	};
+
+	const send = async (address: string, target = '/'): Promise<Outcome> => {
+		client ??= new UpstreamClient();
+		return new Promise((resolve) => {
+			const outcome: Outcome = {body: '', isComplete: false};
+			client!.send(
+				{key: address, address, maxConnections: 1},
+				{
+					method: 'POST',
+					target,
+					headers: [['X-Case', 'kept']],
+					body: Buffer.from('body'),
+				},
+				{
+					onStart({status}) {
+						outcome.status = status;
+					},
+					onData(chunk) {
+						outcome.body += Buffer.from(chunk).toString('latin1');
+					},
+					onEnd() {
+						outcome.isComplete = true;
+						resolve(outcome);
+					},
+					onFailure(failure) {
+						outcome.failure = failure;
+						resolve(outcome);
+					},
+				},
+			);
+		});
+	};
+
+	it('sends method, target, headers and body as they are', async () => {
+		let seen = '';
+		const address = await startServer((text, socket) => {
+			seen += text;
+			if (seen.endsWith('body')) {
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+			}
+		});
+		const {status, body} = await send(address, '/a%2F?b=%00');
+		expect({status, body}).toEqual({status: 200, body: 'ok'});
+		expect(seen).toMatch(/^POST \/a%2F\?b=%00 HTTP\/1\.1\r\n/u);
+		expect(seen).toContain('X-Case: kept');
+	});
+
+	it('says that nothing ran when no connection can be made', async () => {
+		const address = await startServer(() => undefined);
+		await new Promise((resolve) => {
+			server!.close(resolve);
+		});
+		const {failure} = await send(address);
+		expect(failure).toMatchObject({verdict: 'not-run', code: 'ECONNREFUSED'});
+	});
+
+	describe('an answer that is not whole', () => {
+		const answers: Array<[string, string]> = [
+			[
+				'shorter than its length',
+				'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab',
+			],
+			[
+				'without its last chunk',
+				'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n',
+			],
+			['that is no answer', 'gibberish\r\n\r\n'],
+			['that is empty', ''],
+		];
+		for (const [name, bytes] of answers) {
+			it(`fails with may-have-run: ${name}`, async () => {
+				const address = await startServer((_text, socket) => {
+					socket.end(bytes);
+				});
+				const {failure, isComplete} = await send(address);
+				expect(isComplete).toBe(false);
+				expect(failure?.verdict).toBe('may-have-run');
+			});
+		}
+	});
+
+	it('does not take bytes after a whole answer for the next one', async () => {
+		let requests = 0;
+		const address = await startServer((text, socket) => {
+			if (!text.includes('body')) {
+				return;
+			}
+
+			requests++;
+			socket.write(
+				requests === 1
+					? 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'
+					: 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo',
+			);
+		});
+		const first = await send(address);
+		const second = await send(address);
+		expect([first.body, second.body]).toEqual(['one', 'two']);
+	});
+
+	it('closes the connection of a cancelled exchange, so that the server stops its work', async () => {
+		let noteClosed: () => void;
+		const closed = new Promise<void>((resolve) => {
+			noteClosed = resolve;
+		});
+		client = new UpstreamClient();
+		const address = await startServer((_text, socket) => {
+			socket.on('close', () => {
+				noteClosed();
+			});
+			exchange.cancel();
+		});
+		const exchange = client.send(
+			{key: address, address, maxConnections: 1},
+			{method: 'GET', target: '/', headers: [], body: Buffer.alloc(0)},
+			{
+				onStart: () => undefined,
+				onData: () => undefined,
+				onEnd: () => undefined,
+				onFailure: () => undefined,
+			},
+		);
+		await closed;
+	});
+});
--- /dev/null
+++ b/packages/replica-planner/src/index.ts
@@ -0,0 +1,6 @@
+export {
+	type GroupDisk,
+	planReplicas,
+	type ReplicaPlan,
+	type ReplicaPlanInput,
+} from './plan-replicas.ts';
