Choose servers by the load of all daemons and the last turn's server

Rendezvous hashing within the zone sees only the requests of its own daemon and counts a third of the slots as its share. Ruled out: the entries (0.11 of 0.675 cores) and the reservations (402 answers within 6 to 14 ms).

Entries exchange their requests under way every 100 ms through the control daemons, the shard names the server of the last turn with the reservation, and the choice weighs reading a prompt again against the requests that the server has. A confirmation after a gap ends waiting sync calls: restarted entries refused 40 requests for want of one.

--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -1,98 +1,120 @@
 import type {UpstreamId} from '@marjoramcove/types';
 import type {ServerLoad} from './server-table.ts';
 
+/** A part of a prompt, in the order of the prompt. */
+export type PromptPart = {id: string; tokens: number};
+
 /** What decides between servers. */
 export type ServerChoice = {
 	/** Zone of this daemon. */
 	zone: string;
-	/** Requests with the same key share a prompt; absent for plain requests. */
-	affinityKey?: string;
-	/** Entry daemons that use the servers of the zone. */
-	entryCount: number;
+	/** Parts of the prompt; absent for plain requests. */
+	prompt?: readonly PromptPart[];
+	/** Server that ran the last turn of the program; it keeps all of the prompt but the last part. */
+	lastServerId?: UpstreamId;
 	/** Servers that this request has been sent to already. */
 	excludedIds: ReadonlySet<UpstreamId>;
 	/** Uniform in [0, 1). */
 	random: () => number;
 };
 
-/** Load at which a server of another zone is preferred to one of the own zone, in shares of slots. */
-const OTHER_ZONE_PENALTY = 0.5;
-
-/** Servers that may hold the prompt of a program: the second one takes over when the first is busy. */
-const AFFINE_SERVERS = 2;
-
-/** FNV-1a; all daemons must compute the same value. */
-const hashText = (text: string): number => {
-	let hash = 0x81_1c_9d_c5;
-	for (let index = 0; index < text.length; index++) {
-		// eslint-disable-next-line no-bitwise
-		hash = Math.imul(hash ^ text.codePointAt(index)!, 0x01_00_01_93);
-	}
-
-	// The final mix spreads keys that differ only in their last characters.
-	// eslint-disable-next-line no-bitwise
-	hash = Math.imul(hash ^ (hash >>> 15), 0x2c_1b_3c_6d);
-	// eslint-disable-next-line no-bitwise
-	return (hash ^ (hash >>> 13)) >>> 0;
+/** Figures of {@link estimateCostMs}. */
+export type BalancerSettings = {
+	/** Speed at which an engine reads a prompt, in tokens per millisecond. */
+	prefillTokensPerMs: number;
+	/** Delay that each request beside it adds to a stream, and a stream to each request beside it. */
+	streamDelayMs: number;
+	/** Delay that each request beside it adds to a plain request while the server has free slots. */
+	plainDelayMs: number;
+	/** Delay for each request beyond the slots of a server. */
+	queueDelayMs: number;
+	/** Cost of leaving the zone: a longer way and traffic between zones. */
+	otherZoneMs: number;
 };
 
-const rankByAffinity = (
-	loads: readonly ServerLoad[],
-	affinityKey: string,
-): ServerLoad[] =>
-	loads
-		.map((load) => ({
-			load,
-			hash: hashText(`${affinityKey} ${load.server.id}`),
-		}))
-		.toSorted((a, b) => b.hash - a.hash)
-		.map(({load}) => load);
+/**
+ * Defaults. Prefill and stream delay are of the order of the two engines in docs/measurements.md
+ * (170 to 227 tokens/ms; 27 ms an event alone, 2 ms more for each request beside it, 10 events).
+ */
+export const DEFAULT_BALANCER_SETTINGS: BalancerSettings = {
+	prefillTokensPerMs: 200,
+	streamDelayMs: 20,
+	plainDelayMs: 4,
+	queueDelayMs: 60,
+	otherZoneMs: 8,
+};
 
-const chooseLeastLoaded = (
-	loads: readonly ServerLoad[],
-	{zone, entryCount, random}: ServerChoice,
-): ServerLoad | undefined => {
-	let best: {load: ServerLoad; cost: number} | undefined;
-	for (const load of loads) {
-		const share = load.server.slots / entryCount;
-		const penalty = load.server.zone === zone ? 0 : OTHER_ZONE_PENALTY;
-		// The random part breaks ties, so that daemons with the same view spread their requests.
-		const cost = load.inFlight / share + penalty + random() * 0.01;
-		if (!best || cost < best.cost) {
-			best = {load, cost};
-		}
-	}
+/** Tokens that a server has to read: everything from the first part on that it does not keep. */
+const countMissingTokens = (
+	{server, hasPart}: ServerLoad,
+	prompt: readonly PromptPart[],
+	lastServerId: UpstreamId | undefined,
+): number => {
+	const isLast = server.id === lastServerId;
+	const firstMissing = isLast
+		? prompt.length - 1
+		: prompt.findIndex(({id}) => !hasPart(id));
+	return firstMissing < 0
+		? 0
+		: prompt.slice(firstMissing).reduce((sum, {tokens}) => sum + tokens, 0);
+};
 
-	return best?.load;
+/**
+ * Estimates what sending the request to a server costs callers, in milliseconds: the reading of what it
+ * does not keep, the delay among the requests that it has, the wait for a slot, the way.
+ *
+ * @example
+ * ```ts
+ * const costMs = estimateCostMs(load, choice, DEFAULT_BALANCER_SETTINGS);
+ * ```
+ */
+export const estimateCostMs = (
+	load: ServerLoad,
+	{zone, prompt, lastServerId}: ServerChoice,
+	settings: BalancerSettings,
+): number => {
+	const {slots} = load.server;
+	const inFlight = load.inFlight + load.othersInFlight;
+	const readMs = prompt
+		? countMissingTokens(load, prompt, lastServerId) /
+			settings.prefillTokensPerMs
+		: 0;
+	const delayMs = prompt ? settings.streamDelayMs : settings.plainDelayMs;
+	return (
+		readMs +
+		inFlight * delayMs +
+		Math.max(0, inFlight + 1 - slots) * settings.queueDelayMs +
+		(load.server.zone === zone ? 0 : settings.otherZoneMs)
+	);
 };
 
 /**
- * Chooses the server of a request.
+ * Chooses the server with the least cost.
  *
  * @param candidates - servers of one service that take new requests.
  * @returns `undefined` when none is left.
  * @example
  * ```ts
- * const load = chooseServer(table.candidates('desk', nowMs), {zone: 'a', entryCount: 3, excludedIds: new Set(), random: Math.random});
+ * const load = chooseServer(table.candidates('desk', nowMs), {zone: 'a', excludedIds: new Set(), random: Math.random});
  * ```
  */
 export const chooseServer = (
 	candidates: readonly ServerLoad[],
 	choice: ServerChoice,
+	settings = DEFAULT_BALANCER_SETTINGS,
 ): ServerLoad | undefined => {
-	const {zone, affinityKey, entryCount, excludedIds} = choice;
-	const usable = candidates.filter(({server}) => !excludedIds.has(server.id));
-	if (affinityKey !== undefined) {
-		const inZone = usable.filter(({server}) => server.zone === zone);
-		const affine = rankByAffinity(inZone, affinityKey).slice(0, AFFINE_SERVERS);
-		const withRoom = affine.find(
-			({inFlight, server}) =>
-				inFlight < Math.max(1, Math.floor(server.slots / entryCount)),
-		);
-		if (withRoom) {
-			return withRoom;
+	let best: {load: ServerLoad; costMs: number} | undefined;
+	for (const load of candidates) {
+		if (choice.excludedIds.has(load.server.id)) {
+			continue;
+		}
+
+		// The random part breaks ties, so that daemons with the same view spread their requests.
+		const costMs = estimateCostMs(load, choice, settings) + choice.random();
+		if (!best || costMs < best.costMs) {
+			best = {load, costMs};
 		}
 	}
 
-	return chooseLeastLoaded(usable, choice);
+	return best?.load;
 };
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -1,2 +1,11 @@
-export {chooseServer, type ServerChoice} from './choose-server.ts';
+export {
+	type BalancerSettings,
+	chooseServer,
+	DEFAULT_BALANCER_SETTINGS,
+	estimateCostMs,
+	type PromptPart,
+	type ServerChoice,
+} from './choose-server.ts';
+export {RecentParts} from './recent-parts.ts';
 export {type ServerLoad, ServerTable} from './server-table.ts';
+export {type InFlightByServer, LoadLedger} from './load-ledger.ts';
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,19 +1,41 @@
 import type {ListedServer} from '@marjoramcove/inventory';
 import type {UpstreamId} from '@marjoramcove/types';
+import {RecentParts} from './recent-parts.ts';
 
 /** A server and what this daemon knows of its load. */
 export type ServerLoad = {
 	server: ListedServer;
 	/** Requests of this daemon that it has not answered. */
 	inFlight: number;
+	/** Requests of other daemons, as they last told. */
+	othersInFlight: number;
 	/** It is avoided until this time of the monotonic clock. */
 	avoidUntilMs: number;
 	/** It said itself that it is leaving; the list may not show it yet. */
 	isClosing: boolean;
+	/** Whether this daemon has sent it a part of a prompt lately. */
+	hasPart: (id: string) => boolean;
+	/** Remembers the parts of a prompt that was sent to it. */
+	noteParts: (ids: readonly string[]) => void;
+};
+
+const createLoad = (server: ListedServer): ServerLoad => {
+	const parts = new RecentParts();
+	return {
+		server,
+		inFlight: 0,
+		othersInFlight: 0,
+		avoidUntilMs: 0,
+		isClosing: false,
+		hasPart: (id) => parts.has(id),
+		noteParts(ids) {
+			parts.note(ids);
+		},
+	};
 };
 
 /**
- * The servers of the list with the load that this daemon causes.
+ * The servers of the list with their load.
  *
  * @example
  * ```ts
@@ -24,7 +46,7 @@
 export class ServerTable {
 	#loads = new Map<UpstreamId, ServerLoad>();
 
-	/** Takes a new list. A server that started again under its id has no load and no faults. */
+	/** Takes a new list. A server that started again under its id has no load, faults or cache. */
 	replace(servers: readonly ListedServer[]): void {
 		const next = new Map<UpstreamId, ServerLoad>();
 		for (const server of servers) {
@@ -34,20 +56,27 @@
 				known.server.bornAtMs === server.bornAtMs;
 			if (known && isSameLife) {
 				known.server = server;
-				next.set(server.id, known);
-			} else {
-				next.set(server.id, {
-					server,
-					inFlight: 0,
-					avoidUntilMs: 0,
-					isClosing: false,
-				});
 			}
+
+			next.set(server.id, known && isSameLife ? known : createLoad(server));
 		}
 
 		this.#loads = next;
 	}
 
+	/** Takes the requests that other daemons have under way, by server. */
+	noteOthers(inFlight: Readonly<Record<string, number>>): void {
+		for (const [id, load] of this.#loads) {
+			load.othersInFlight = inFlight[id] ?? 0;
+		}
+	}
+
+	/** Requests of this daemon that are under way, by server; servers without any are left out. */
+	describeInFlight(): Record<string, number> {
+		const busy = [...this.#loads].filter(([, {inFlight}]) => inFlight > 0);
+		return Object.fromEntries(busy.map(([id, {inFlight}]) => [id, inFlight]));
+	}
+
 	/** Servers of a service that take new requests; those to avoid only when there are no others. */
 	candidates(service: string, nowMs: number): ServerLoad[] {
 		const all = [...this.#loads.values()].filter(
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -59,6 +59,7 @@
 	requestId: z.string(),
 	usedTokens: z.number(),
 	retentionMs: z.number(),
+	serverId: z.string().optional(),
 	turn: z
 		.object({
 			previousId: z.string().optional(),
@@ -83,4 +84,13 @@
 	/** The leader of the group is certain that the group does not have it. */
 	| {status: 'not-in-group'};
 
+/** Requests under way by server, of the daemons that the sender speaks for. */
+export const loadsInput = z.object({
+	from: z.string(),
+	inFlight: z.record(z.string(), z.number()),
+});
+
+/** Requests under way by server, of all other daemons. */
+export type LoadsOutput = {inFlight: Record<string, number>};
+
 export const deliverInput = z.object({from: z.string(), batch: bytes});
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -32,7 +32,7 @@
 	upstreams: Upstreams;
 	table: RouteTable;
 	/** Runs after the last event and before the answer is complete; a failure breaks the answer off. */
-	beforeEnd: (reader: StreamReader) => Promise<void>;
+	beforeEnd: (reader: StreamReader, serverId: UpstreamId) => Promise<void>;
 	reader: StreamReader;
 };
 
@@ -185,7 +185,7 @@
 
 const finishStream = async (
 	{exchange}: RequestContext,
-	end: StreamEnd,
+	{end, serverId}: {end: StreamEnd; serverId: UpstreamId},
 	{beforeEnd, reader}: StreamParts,
 ): Promise<string> => {
 	if (end.type === 'abandoned') {
@@ -198,7 +198,7 @@
 	}
 
 	try {
-		await beforeEnd(reader);
+		await beforeEnd(reader, serverId);
 	} catch (error) {
 		exchange.breakOff();
 		throw error;
@@ -239,7 +239,11 @@
 		}
 
 		if (offer.type === 'streaming') {
-			const reason = await finishStream(request, offer.end, parts);
+			const reason = await finishStream(
+				request,
+				{end: offer.end, serverId},
+				parts,
+			);
 			const {firstByteMs} = offer;
 			return {status: 200, reason, firstByteMs, ...done};
 		}
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -1,6 +1,6 @@
 import {StreamReader} from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
-import type {GroupId} from '@marjoramcove/types';
+import type {GroupId, UpstreamId} from '@marjoramcove/types';
 import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
 import type {TurnsService} from '../services/turns-service.ts';
 import {refuse} from './answer-caller.ts';
@@ -26,6 +26,8 @@
 	parts: TurnParts;
 	/** Absent at the start of a line of turns. */
 	chain: Chain | undefined;
+	/** Server of the program's last turn. */
+	lastServerId: UpstreamId | undefined;
 	retentionMs: number;
 	isCharged: boolean;
 };
@@ -117,6 +119,10 @@
 		request,
 		parts,
 		chain: chain.status === 'fulfilled' ? chain.value : undefined,
+		lastServerId:
+			reserved.status === 'fulfilled' && reserved.value?.status === 'granted'
+				? reserved.value.lastServerId
+				: undefined,
 		retentionMs,
 		isCharged,
 	};
@@ -186,7 +192,8 @@
 	const body = chain ? Buffer.concat([chain.text, input]) : input;
 	const reader = new StreamReader();
 	let isSettled = false;
-	const settleKept = async () => {
+	let serverId: UpstreamId | undefined;
+	const settleKept = async (_reader: StreamReader, serverId: UpstreamId) => {
 		if (!route.keepsTurns || !isCharged) {
 			return;
 		}
@@ -195,6 +202,7 @@
 		await parts.turns.settle(
 			{
 				...settlementOf(turn, reader),
+				serverId,
 				turn: describeTurn(turn, input, reader),
 			},
 			{deadlineMs: request.deadlineMs},
@@ -204,17 +212,21 @@
 	};
 
 	try {
-		const outcome = exchange.isFinished
+		const outcome: RequestOutcome = exchange.isFinished
 			? {status: 499, reason: 'caller-left', attempts: 0}
 			: await forwardStream(
 					context,
-					{...request, body},
+					{...request, body, lastServerId: turn.lastServerId},
 					{...parts, reader, beforeEnd: settleKept},
 				);
+		serverId = outcome.serverId;
 		return {...outcome, events: reader.eventCount};
 	} finally {
 		if (isCharged && !isSettled) {
-			void parts.turns.settleInBackground(settlementOf(turn, reader));
+			void parts.turns.settleInBackground({
+				...settlementOf(turn, reader),
+				serverId,
+			});
 		}
 	}
 };
--- a/packages/gateway/src/entry/request-context.ts
+++ b/packages/gateway/src/entry/request-context.ts
@@ -1,5 +1,6 @@
 import type {CallerExchange, RequestHead} from '@marjoramcove/ingress';
 import type {Route} from '@marjoramcove/routes';
+import type {UpstreamId} from '@marjoramcove/types';
 
 /** A request with everything that was decided about it so far. */
 export type RequestContext = {
@@ -11,6 +12,8 @@
 	body: Uint8Array;
 	/** Time by the monotonic clock at which the answer must be complete. */
 	deadlineMs: number;
+	/** Server of the program's last turn, when it is known. */
+	lastServerId?: UpstreamId;
 	/** Version of the routing document that decided. */
 	documentVersion: number;
 };
@@ -20,7 +23,7 @@
 	status: number;
 	/** Why this status was given; `served` for the answer of a server. */
 	reason: string;
-	serverId?: string;
+	serverId?: UpstreamId;
 	attempts: number;
 	firstByteMs?: number;
 	events?: number;
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -1,5 +1,6 @@
 import {
 	chooseServer,
+	type InFlightByServer,
 	type ServerLoad,
 	ServerTable,
 } from '@marjoramcove/balancer';
@@ -54,6 +55,16 @@
 		);
 	}
 
+	/** Requests of this daemon that are under way, by server. */
+	describeInFlight(): Record<string, number> {
+		return this.#table.describeInFlight();
+	}
+
+	/** Takes the requests that other daemons have under way. */
+	noteOthers(inFlight: InFlightByServer): void {
+		this.#table.noteOthers(inFlight);
+	}
+
 	async close(): Promise<void> {
 		await this.#client.close();
 	}
@@ -63,17 +74,11 @@
 		request: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
 	): ServerLoad | undefined {
-		const {settings, view} = this.#context;
-		const {route, head, service} = request;
-		const entriesInZone = view
-			.membersOf('entry')
-			.filter(({zone, phase}) => zone === settings.zone && phase === 'ready');
+		const {route, head, service, lastServerId} = request;
 		return chooseServer(this.#table.candidates(service, performance.now()), {
-			zone: settings.zone,
-			affinityKey: route.hasPrompt
-				? (head.programId ?? head.promptParts?.at(-1)?.id)
-				: undefined,
-			entryCount: Math.max(1, entriesInZone.length),
+			zone: this.#context.settings.zone,
+			prompt: route.hasPrompt ? (head.promptParts ?? []) : undefined,
+			lastServerId,
 			excludedIds,
 			random: Math.random,
 		});
@@ -101,6 +106,7 @@
 		};
 
 		load.inFlight++;
+		load.noteParts((request.head.promptParts ?? []).map(({id}) => id));
 		const sent = this.#client.send(
 			{
 				key: serverKey(load),
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -19,7 +19,11 @@
 	shardMap?: ShardMap;
 };
 
-export type FleetTopic = keyof FleetTopics;
+/** What a listener is told about; a confirmation carries no data of its own. */
+export type FleetTopic = keyof FleetTopics | 'confirmation';
+
+/** Confirmations come several times a second; a longer gap means that they were interrupted. */
+const CONFIRMATION_GAP_MS = 1500;
 
 /** How far a view is, so that only newer topics are sent to it. */
 export type ViewPosition = {
@@ -34,10 +38,14 @@
 	readonly topics: FleetTopics = {};
 	/** Leader of the configuration group, as far as it is known. */
 	leaderId: DaemonId | undefined;
-	/** Time by the monotonic clock at which a quorum is known to have had no newer document. */
-	confirmedAtMs = Number.NEGATIVE_INFINITY;
+	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #listeners = new Set<(topic: FleetTopic) => void>();
 
+	/** Time by the monotonic clock at which a quorum is known to have had no newer document. */
+	get confirmedAtMs(): number {
+		return this.#confirmedAtMs;
+	}
+
 	get members(): FleetMember[] {
 		return this.topics.members?.items ?? [];
 	}
@@ -79,6 +87,15 @@
 		});
 	}
 
+	/** Takes a confirmation; one after a gap is news for the daemons that wait for it. */
+	confirm(atMs: number): void {
+		const gapMs = atMs - this.#confirmedAtMs;
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+		if (gapMs > CONFIRMATION_GAP_MS) {
+			this.#notify('confirmation');
+		}
+	}
+
 	/** Takes topics that are newer than the known ones and drops the others. */
 	merge(topics: FleetTopics): void {
 		const {members, servers, document, shardMap} = topics;
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -18,6 +18,10 @@
 	HttpService,
 } from './services/http-service.ts';
 import {InventoryService} from './services/inventory-service.ts';
+import {
+	LoadExchangeService,
+	LoadRelayService,
+} from './services/loads-service.ts';
 import {PeerListenerService, PeersService} from './services/peers-service.ts';
 import {RepairService} from './services/repair-service.ts';
 import {ShardPlannerService} from './services/shard-planner-service.ts';
@@ -42,6 +46,7 @@
 		new RepairService(context, control),
 		new ShardPlannerService(context),
 		new InventoryService(context),
+		new LoadRelayService(context),
 		new PeerListenerService(context, peers),
 		...(controlAddress === undefined
 			? []
@@ -70,6 +75,7 @@
 	return [
 		new TurnsService(context),
 		entry,
+		new LoadExchangeService(context, entry.upstreams),
 		...(ready === undefined
 			? []
 			: [
--- a/packages/gateway/src/services/control-service.ts
+++ b/packages/gateway/src/services/control-service.ts
@@ -355,7 +355,7 @@
 		const startedAtMs = performance.now();
 		try {
 			await this.#host!.readBarrier(CONTROL_GROUP);
-			this.#context.view.confirmedAtMs = startedAtMs;
+			this.#context.view.confirm(startedAtMs);
 		} catch (error) {
 			this.#context.logger.warn({
 				event: 'leadership-unconfirmed',
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -99,6 +99,11 @@
 		await this.#upstreams.close();
 	}
 
+	/** The servers of this daemon and their loads. */
+	get upstreams(): Upstreams {
+		return this.#upstreams;
+	}
+
 	/** Closes connections on which nothing is under way, so that their callers go elsewhere. */
 	closeIdleConnections(): void {
 		this.#server.closeIdleConnections();
--- a/packages/gateway/src/services/fleet-service.ts
+++ b/packages/gateway/src/services/fleet-service.ts
@@ -72,6 +72,11 @@
 		this.#isStopped = true;
 	}
 
+	/** The control daemon that this one reports to, `undefined` while it looks for one. */
+	get parentId(): DaemonId | undefined {
+		return this.#parentId;
+	}
+
 	get isLeader(): boolean {
 		return this.#leadership?.isLeader ?? false;
 	}
@@ -141,8 +146,12 @@
 		this.#noteReports(input);
 		const {view} = this.#context;
 		const deadlineMs = performance.now() + input.waitMs;
+		const {confirmedAtMs} = view;
+		// A first confirmation ends the wait as well: without one a daemon takes no requests.
+		const isRegained = () => view.confirmedAtMs - confirmedAtMs > input.waitMs;
 		while (
 			view.newerThan(input.position) === undefined &&
+			!isRegained() &&
 			performance.now() < deadlineMs &&
 			!this.#isStopped
 		) {
@@ -298,7 +307,7 @@
 		if (output.confirmedAgeMs !== undefined) {
 			// From the time of sending, so that the way there and back does not lengthen the lease.
 			const confirmedAtMs = sentAtMs - output.confirmedAgeMs;
-			view.confirmedAtMs = Math.max(view.confirmedAtMs, confirmedAtMs);
+			view.confirm(confirmedAtMs);
 		}
 
 		// A control daemon learns the leader from its own replica.
--- a/packages/gateway/src/services/store-service.ts
+++ b/packages/gateway/src/services/store-service.ts
@@ -15,6 +15,7 @@
 	type GroupId,
 	type ProgramId,
 	type RequestId,
+	type UpstreamId,
 } from '@marjoramcove/types';
 import {
 	chainInput,
@@ -199,6 +200,10 @@
 			requestId: asId<RequestId>(input.requestId),
 			usedTokens: input.usedTokens,
 			retentionMs: input.retentionMs,
+			serverId:
+				input.serverId === undefined
+					? undefined
+					: asId<UpstreamId>(input.serverId),
 			turn: turn && {
 				text: turn.text,
 				retentionMs: turn.retentionMs,
--- a/packages/turns/src/step-turns.ts
+++ b/packages/turns/src/step-turns.ts
@@ -61,8 +61,9 @@
 		return {status: 'already-settled'};
 	}
 
+	const {lastServerId} = program;
 	if (program.reservedTokens.has(requestId)) {
-		return {status: 'granted'};
+		return {status: 'granted', lastServerId};
 	}
 
 	const reservedTokens = sumReserved(program);
@@ -77,7 +78,7 @@
 		'program-budget',
 		command,
 	);
-	return {status: 'granted'};
+	return {status: 'granted', lastServerId};
 };
 
 /** A turn keeps everything before it for as long as itself. */
@@ -126,6 +127,7 @@
 	program.reservedTokens.delete(requestId);
 	program.spentTokens += usedTokens;
 	program.settled.add(requestId);
+	program.lastServerId = command.serverId ?? program.lastServerId;
 	if (program.settled.size > SETTLED_TURNS_KEPT) {
 		const [oldest] = program.settled;
 		program.settled.delete(oldest!);
--- a/packages/turns/src/turns-machine.ts
+++ b/packages/turns/src/turns-machine.ts
@@ -4,7 +4,7 @@
 	StateMachine,
 } from '@marjoramcove/consensus';
 import {BinaryCodec} from '@marjoramcove/transport';
-import type {ProgramId, RequestId} from '@marjoramcove/types';
+import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 import {stepTurns} from './step-turns.ts';
 import {
 	createTurnsState,
@@ -28,6 +28,7 @@
 			reserved: Array<[RequestId, number]>,
 			settled: RequestId[],
 			expiresAtMs: number,
+			lastServerId?: UpstreamId,
 		]
 	>;
 	turns: Array<[RequestId, TurnRecord]>;
@@ -53,6 +54,7 @@
 	[...program.reservedTokens],
 	[...program.settled],
 	program.expiresAtMs,
+	program.lastServerId,
 ];
 
 const unpackProgram = ([
@@ -61,12 +63,14 @@
 	reserved,
 	settled,
 	expiresAtMs,
+	lastServerId,
 ]: Snapshot['programs'][number]): [ProgramId, ProgramBudget] => [
 	id,
 	{
 		spentTokens,
 		reservedTokens: new Map(reserved),
 		settled: new Set(settled),
+		lastServerId,
 		expiresAtMs,
 	},
 ];
--- a/packages/turns/src/turns-state.ts
+++ b/packages/turns/src/turns-state.ts
@@ -1,4 +1,4 @@
-import type {ProgramId, RequestId} from '@marjoramcove/types';
+import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 
 /** What a program has spent. */
 export type ProgramBudget = {
@@ -7,6 +7,8 @@
 	reservedTokens: Map<RequestId, number>;
 	/** Turns that are settled, oldest first, so that a repeated command changes nothing. */
 	settled: Set<RequestId>;
+	/** Server of the last settled turn; it holds what the program has said so far. */
+	lastServerId?: UpstreamId;
 	expiresAtMs: number;
 };
 
@@ -54,12 +56,14 @@
 			/** Tokens that were handed to the caller. */
 			usedTokens: number;
 			retentionMs: number;
+			/** Server that ran the turn. */
+			serverId?: UpstreamId;
 			turn?: FinishedTurn;
 	  }
 	| {type: 'expire'; nowMs: number};
 
 export type TurnResult =
-	| {status: 'granted'}
+	| {status: 'granted'; lastServerId?: UpstreamId}
 	/** The rest of the budget is smaller than the most that the turn may generate. */
 	| {status: 'budget-spent'; spentTokens: number; reservedTokens: number}
 	/** The turn had been settled before; it must not run again. */
