Ask live replicas for a shard whose leader failed

Two of three disks had been replaced by others since the first placement, and the fallback went through the voters of that placement, whose addresses no longer exist. The new leaders were elected 0.6 s after the cut, so the election was ruled out.

--- a/packages/gateway/src/services/turns-service.ts
+++ b/packages/gateway/src/services/turns-service.ts
@@ -10,6 +10,7 @@
 } from '@marjoramcove/types';
 import type {ChainOutput, ReserveInput, SettleInput} from '../contracts.ts';
 import {chooseShard} from '../choose-shard.ts';
+import {chooseOtherReplica, findShardLeader} from '../find-shard-leader.ts';
 import {type GatewayContext, reasonOf} from '../gateway-context.ts';
 import type {PeersService} from './peers-service.ts';
 
@@ -228,20 +229,10 @@
 	}
 
 	#findLeader(groupId: GroupId): DaemonId | undefined {
-		const hint = this.#hints.get(groupId);
-		if (hint !== undefined) {
-			return hint;
-		}
-
-		let best: {daemonId: DaemonId; term: number} | undefined;
-		for (const {daemonId, ledGroups} of this.#context.view.members) {
-			const led = ledGroups.find((group) => group.groupId === groupId);
-			if (led && led.term > (best?.term ?? 0)) {
-				best = {daemonId, term: led.term};
-			}
-		}
-
-		return best?.daemonId;
+		return (
+			this.#hints.get(groupId) ??
+			findShardLeader(this.#context.view.members, groupId)
+		);
 	}
 
 	/** A replica that does not lead names the leader; one that does not answer is passed over. */
@@ -259,13 +250,11 @@
 			return;
 		}
 
-		const voters = this.#context.view.topics.shardMap?.shards.find(
-			(shard) => shard.groupId === groupId,
-		)?.voters;
-		const others = (voters ?? [])
-			.map(({daemonId}) => daemonId)
-			.filter((daemonId) => daemonId !== leaderId);
-		const next = others[Math.floor(Math.random() * others.length)];
+		const next = chooseOtherReplica(
+			this.#context.view.members,
+			leaderId,
+			Math.random(),
+		);
 		if (next !== undefined) {
 			this.#hints.set(groupId, next);
 		}
