--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -2,7 +2,12 @@
 import type {ServerLoad} from './server-table.ts';
 
 /** A part of a prompt, in the order of the prompt. */
-export type PromptPart = {id: string; tokens: number};
+export type PromptPart = {
+	id: string;
+	tokens: number;
+	/** Many programs share it, so every busy engine keeps it. */
+	isCommon?: boolean;
+};
 
 /** What decides between servers. */
 export type ServerChoice = {
@@ -22,7 +27,7 @@
 export type BalancerSettings = {
 	/** Speed at which an engine reads a prompt, in tokens per millisecond. */
 	prefillTokensPerMs: number;
-	/** Delay that each request beside it adds to a stream, and a stream to each request beside it. */
+	/** Delay that each request beside it adds to a stream. */
 	streamDelayMs: number;
 	/** Delay that each request beside it adds to a plain request while the server has free slots. */
 	plainDelayMs: number;
@@ -34,34 +39,36 @@
 
 /**
  * Defaults. Prefill and stream delay are of the order of the two engines in docs/measurements.md
- * (170 to 227 tokens/ms; 27 ms an event alone, 2 ms more for each request beside it, 10 events).
+ * (170 to 227 tokens/ms; 27 ms an event alone, 1.5 to 2 ms more for each request beside it, 10 events).
  */
 export const DEFAULT_BALANCER_SETTINGS: BalancerSettings = {
 	prefillTokensPerMs: 200,
-	streamDelayMs: 20,
+	streamDelayMs: 15,
 	plainDelayMs: 4,
 	queueDelayMs: 60,
 	otherZoneMs: 8,
 };
 
-/** Tokens that a server has to read: everything from the first part on that it does not keep. */
+/** Tokens that a server has to read: the last part, and everything from the first one that it lacks. */
 const countMissingTokens = (
 	{server, hasPart}: ServerLoad,
 	prompt: readonly PromptPart[],
 	lastServerId: UpstreamId | undefined,
 ): number => {
 	const isLast = server.id === lastServerId;
-	const firstMissing = isLast
-		? prompt.length - 1
-		: prompt.findIndex(({id}) => !hasPart(id));
-	return firstMissing < 0
-		? 0
-		: prompt.slice(firstMissing).reduce((sum, {tokens}) => sum + tokens, 0);
+	const lacking = isLast
+		? -1
+		: prompt.findIndex(({id, isCommon}) => !isCommon && !hasPart(id));
+	const firstRead = lacking < 0 ? prompt.length - 1 : lacking;
+	return prompt
+		.slice(Math.max(0, firstRead))
+		.reduce((sum, {tokens}) => sum + tokens, 0);
 };
 
 /**
  * Estimates what sending the request to a server costs callers, in milliseconds: the reading of what it
- * does not keep, the delay among the requests that it has, the wait for a slot, the way.
+ * does not keep, which holds up every stream that it runs, the delay among these, the wait for a slot,
+ * the way.
  *
  * @example
  * ```ts
@@ -81,7 +88,7 @@
 		: 0;
 	const delayMs = prompt ? settings.streamDelayMs : settings.plainDelayMs;
 	return (
-		readMs +
+		readMs * (1 + inFlight) +
 		inFlight * delayMs +
 		Math.max(0, inFlight + 1 - slots) * settings.queueDelayMs +
 		(load.server.zone === zone ? 0 : settings.otherZoneMs)
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -6,6 +6,7 @@
 	type PromptPart,
 	type ServerChoice,
 } from './choose-server.ts';
+export {PartPopularity} from './part-popularity.ts';
 export {RecentParts} from './recent-parts.ts';
 export {type ServerLoad, ServerTable} from './server-table.ts';
 export {type InFlightByServer, LoadLedger} from './load-ledger.ts';
--- a/packages/fleet/src/choose-parent.ts
+++ b/packages/fleet/src/choose-parent.ts
@@ -38,13 +38,21 @@
 	const {selfId, members, seeds, leaderId, nowMs, random} = choice;
 	const isUsable = (id: DaemonId) =>
 		id !== selfId && (choice.failedUntilMs.get(id) ?? 0) <= nowMs;
+	if (
+		choice.role === 'control' &&
+		leaderId !== undefined &&
+		leaderId !== selfId
+	) {
+		// The replicas heard the leader a moment ago, so an earlier failure says nothing about it.
+		return leaderId;
+	}
+
 	const control = members.filter(
 		({role, phase}) => role === 'control' && phase !== 'draining',
 	);
 	const ids = (list: readonly FleetMember[]) =>
 		list.map(({daemonId}) => daemonId);
 	const ranked: DaemonId[][] = [
-		choice.role === 'control' && leaderId !== undefined ? [leaderId] : [],
 		choice.role === 'control'
 			? []
 			: ids(control.filter(({zone}) => zone === choice.zone)),
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -100,6 +100,12 @@
 		expect(chooseParent({...choice, failedUntilMs})).toBeDefined();
 	});
 
+	it('lets a control daemon report to a leader that was unreachable before its election', () => {
+		const failedUntilMs = new Map([[daemonId('s2'), 5000]]);
+		const control = {...choice, role: 'control' as const, failedUntilMs};
+		expect(chooseParent({...control, leaderId: daemonId('s2')})).toBe('s2');
+	});
+
 	it('lets control daemons report to the leader and never to themselves', () => {
 		const control = {...choice, role: 'control' as const};
 		expect(chooseParent({...control, leaderId: daemonId('s2')})).toBe('s2');
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -1,6 +1,8 @@
 import {
 	chooseServer,
 	type InFlightByServer,
+	PartPopularity,
+	type PromptPart,
 	type ServerLoad,
 	ServerTable,
 } from '@marjoramcove/balancer';
@@ -8,6 +10,7 @@
 	type AnswerHead,
 	type AnswerStart,
 	findHeader,
+	type RequestHead,
 	UpstreamClient,
 	type UpstreamExchange,
 	type UpstreamFailure,
@@ -42,6 +45,7 @@
 	readonly #context: GatewayContext;
 	readonly #table = new ServerTable();
 	readonly #client = new UpstreamClient();
+	readonly #popularity = new PartPopularity();
 
 	constructor(context: GatewayContext) {
 		this.#context = context;
@@ -77,7 +81,7 @@
 		const {route, head, service, lastServerId} = request;
 		return chooseServer(this.#table.candidates(service, performance.now()), {
 			zone: this.#context.settings.zone,
-			prompt: route.hasPrompt ? (head.promptParts ?? []) : undefined,
+			prompt: route.hasPrompt ? this.#describePrompt(head) : undefined,
 			lastServerId,
 			excludedIds,
 			random: Math.random,
@@ -106,7 +110,12 @@
 		};
 
 		load.inFlight++;
-		load.noteParts((request.head.promptParts ?? []).map(({id}) => id));
+		const partIds = (request.head.promptParts ?? []).map(({id}) => id);
+		load.noteParts(partIds);
+		this.#popularity.note(
+			request.head.programId ?? request.head.requestId ?? '',
+			partIds,
+		);
 		const sent = this.#client.send(
 			{
 				key: serverKey(load),
@@ -159,6 +168,14 @@
 		};
 	}
 
+	#describePrompt({promptParts = []}: RequestHead): PromptPart[] {
+		return promptParts.map(({id, tokens}) => ({
+			id,
+			tokens,
+			isCommon: this.#popularity.isCommon(id),
+		}));
+	}
+
 	#noteAnswer(load: ServerLoad, answer: AnswerStart, head: AnswerHead): void {
 		if (head.isNotRun) {
 			load.avoidUntilMs =
--- a/packages/gateway/src/services/peers-service.ts
+++ b/packages/gateway/src/services/peers-service.ts
@@ -7,6 +7,12 @@
 import {splitAddress} from '@marjoramcove/ingress';
 import type {GatewayContext} from '../gateway-context.ts';
 
+/**
+ * Delays between attempts to connect. A daemon that is back must be found within a fraction of an
+ * election timeout, and a refused attempt costs little.
+ */
+const CONNECT_BACKOFF = {initialMs: 30, maximumMs: 250};
+
 /**
  * Links to other daemons. The id of a daemon is its address, so that any daemon can be reached without
  * a directory.
@@ -32,6 +38,7 @@
 				heartbeatMs: timing.linkHeartbeatMs,
 				silenceMs: timing.linkSilenceMs,
 			},
+			backoff: CONNECT_BACKOFF,
 			onEvent(event, {daemonId: peer, channel}) {
 				const reason = event.type === 'link-closed' ? event.reason : undefined;
 				events.increment({event: event.type, ...(reason && {reason})});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -1,6 +1,7 @@
 import {MarjoramcoveError, RefusedError} from '@marjoramcove/errors';
 import type {DaemonId} from '@marjoramcove/types';
 import type {z, ZodType} from 'zod';
+import type {BackoffOptions} from './backoff-delay.ts';
 import {PeerClient, type PeerClientEvent} from './peer-client.ts';
 import type {CallHandlers, LinkOptions} from './peer-link.ts';
 import type {PeerContext, PostProcedure, Procedures} from './peer-router.ts';
@@ -15,6 +16,8 @@
 	findAddress: (daemonId: DaemonId) => string | undefined;
 	/** Settings of all links. */
 	link?: Partial<LinkOptions>;
+	/** Delays between attempts to connect; default that of {@link PeerClient}. */
+	backoff?: BackoffOptions;
 	onEvent?: (
 		event: PeerClientEvent,
 		peer: {daemonId: DaemonId; channel: PeerChannel},
@@ -226,6 +229,7 @@
 		if (!client) {
 			client = new PeerClient({
 				...this.#options.link,
+				backoff: this.#options.backoff,
 				address,
 				idleMs: IDLE_LINK_MS,
 				onEvent: (event) => {
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,7 +19,7 @@
 		},
 	},
 	{
-		files: ['**/*.test.ts', '**/*.config.ts', 'platform/build.mjs'],
+		files: ['**/*.test.ts', '**/*.config.ts', 'platform/*.mjs'],
 		rules: {
 			// Test libraries and the bundler are dependencies of the workspace root.
 			'import-x/no-extraneous-dependencies': 'off',
