--- a/packages/settings/src/parse-settings.ts
+++ b/packages/settings/src/parse-settings.ts
@@ -32,7 +32,7 @@
 
 const describeAllowed = (issue: z.core.$ZodIssue): string =>
 	issue.code === 'unrecognized_keys'
-		? 'only the keys of the settings reference (docs/operations.md)'
+		? 'only the keys of the settings reference (docs/OPERATIONS.md)'
 		: issue.message;
 
 const toProblems = (
