Know how much of a growing prompt a server keeps; reload seeds

The shard now also tells the tokens that this server keeps, and an entry remembers tokens instead of ids.

SIGHUP ended the process, which is the default of the runtime; it now reads the settings again, as an interval does, and takes other seeds.

--- a/packages/balancer/src/choose-server.test.ts
+++ b/packages/balancer/src/choose-server.test.ts
@@ -33,26 +33,31 @@
 	chooseServer(table.candidates('models', 0), {...choice, ...changes})?.server
 		.id;
 
+/** The part of the session has grown from 4,000 to 4,800 tokens. */
 const prompt = [
 	{id: 'shared', tokens: 12_600, isCommon: true},
-	{id: 'said', tokens: 4000},
-	{id: 'new', tokens: 800},
+	{id: 'session', tokens: 4800},
 ];
 
+const lastAt = (id: string) => ({
+	serverId: asId<UpstreamId>(id),
+	contextTokens: 16_600,
+});
+
 describe('chooseServer', () => {
 	const servers = ['1', '2', '3'].map((id) => createServer(id));
 
 	describe('requests with a prompt', () => {
 		it('stay with the server of the last turn while it has no more requests than others', () => {
-			const lastServerId = asId<UpstreamId>('3');
-			expect(choose(createTable(servers), {prompt, lastServerId})).toBe('3');
+			expect(choose(createTable(servers), {prompt, last: lastAt('3')})).toBe(
+				'3',
+			);
 		});
 
 		it('leave it when the requests beside them cost more than reading the prompt again', () => {
 			const table = createTable(servers);
 			table.all()[2]!.inFlight = 3;
-			const lastServerId = asId<UpstreamId>('3');
-			expect(choose(table, {prompt, lastServerId})).not.toBe('3');
+			expect(choose(table, {prompt, last: lastAt('3')})).not.toBe('3');
 		});
 
 		it('do not leave a loaded server for one where the reading holds up as many streams', () => {
@@ -62,21 +67,21 @@
 			}
 
 			table.all()[2]!.inFlight = 11;
-			const lastServerId = asId<UpstreamId>('3');
-			expect(choose(table, {prompt, lastServerId})).toBe('3');
+			expect(choose(table, {prompt, last: lastAt('3')})).toBe('3');
 		});
 
 		it('prefer a server that was sent what the program said', () => {
 			const table = createTable(servers);
-			table.all()[1]!.noteParts(['said']);
+			table.all()[0]!.noteParts([{id: 'session', tokens: 500}]);
+			table.all()[1]!.noteParts([{id: 'session', tokens: 4000}]);
 			expect(choose(table, {prompt})).toBe('2');
 		});
 
 		it('count a part as missing when one before it is missing', () => {
 			const own = prompt.map((part) => ({...part, isCommon: false}));
 			const table = createTable(servers);
-			table.all()[0]!.noteParts(['said']);
-			table.all()[1]!.noteParts(['shared']);
+			table.all()[0]!.noteParts([{id: 'session', tokens: 4800}]);
+			table.all()[1]!.noteParts([{id: 'shared', tokens: 12_600}]);
 			expect(choose(table, {prompt: own})).toBe('2');
 		});
 	});
@@ -95,10 +100,9 @@
 			const load = chooseServer(table.candidates('models', 0), {
 				...choice,
 				prompt,
-				lastServerId: asId<UpstreamId>('1'),
+				last: lastAt('1'),
 			})!;
 			load.inFlight++;
-			load.noteParts(['shared']);
 		}
 
 		const loads = table.all().map(({inFlight}) => inFlight);
@@ -139,10 +143,10 @@
 		const table = createTable([createServer('1', {bornAtMs: 1})]);
 		const [before] = table.all();
 		before!.isClosing = true;
-		before!.noteParts(['shared']);
+		before!.noteParts([{id: 'shared', tokens: 9}]);
 		table.replace([createServer('1', {bornAtMs: 2})]);
 		expect(table.candidates('models', 0)).toHaveLength(1);
-		expect(table.all()[0]!.hasPart('shared')).toBe(false);
+		expect(table.all()[0]!.keptTokens('shared')).toBe(0);
 	});
 
 	it('uses servers to avoid when there are no others', () => {
--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -9,14 +9,21 @@
 	isCommon?: boolean;
 };
 
+/** The server of a program's last turn, which keeps what was said up to then. */
+export type LastTurn = {
+	serverId: UpstreamId;
+	/** Tokens of its prompt and its answer. */
+	contextTokens: number;
+};
+
 /** What decides between servers. */
 export type ServerChoice = {
 	/** Zone of this daemon. */
 	zone: string;
 	/** Parts of the prompt; absent for plain requests. */
 	prompt?: readonly PromptPart[];
-	/** Server that ran the last turn of the program; it keeps all of the prompt but the last part. */
-	lastServerId?: UpstreamId;
+	/** Where the last turn of the program ran. */
+	last?: LastTurn;
 	/** Servers that this request has been sent to already. */
 	excludedIds: ReadonlySet<UpstreamId>;
 	/** Uniform in [0, 1). */
@@ -49,20 +56,28 @@
 	otherZoneMs: 8,
 };
 
-/** Tokens that a server has to read: the last part, and everything from the first one that it lacks. */
+const sumTokens = (parts: readonly PromptPart[]): number =>
+	parts.reduce((sum, {tokens}) => sum + tokens, 0);
+
+/** Tokens that a server has to read: what it lacks of the first part that it does not keep, and the rest. */
 const countMissingTokens = (
-	{server, hasPart}: ServerLoad,
+	{server, keptTokens}: ServerLoad,
 	prompt: readonly PromptPart[],
-	lastServerId: UpstreamId | undefined,
+	last: LastTurn | undefined,
 ): number => {
-	const isLast = server.id === lastServerId;
-	const lacking = isLast
-		? -1
-		: prompt.findIndex(({id, isCommon}) => !isCommon && !hasPart(id));
-	const firstRead = lacking < 0 ? prompt.length - 1 : lacking;
-	return prompt
-		.slice(Math.max(0, firstRead))
-		.reduce((sum, {tokens}) => sum + tokens, 0);
+	const keptOf = ({id, tokens, isCommon}: PromptPart) =>
+		isCommon ? tokens : Math.min(tokens, keptTokens(id));
+	const lacking = prompt.findIndex((part) => keptOf(part) < part.tokens);
+	const missingTokens =
+		lacking === -1
+			? 0
+			: sumTokens(prompt.slice(lacking)) - keptOf(prompt[lacking]!);
+	return server.id === last?.serverId
+		? Math.min(
+				missingTokens,
+				Math.max(0, sumTokens(prompt) - last.contextTokens),
+			)
+		: missingTokens;
 };
 
 /**
@@ -77,14 +92,13 @@
  */
 export const estimateCostMs = (
 	load: ServerLoad,
-	{zone, prompt, lastServerId}: ServerChoice,
+	{zone, prompt, last}: ServerChoice,
 	settings: BalancerSettings,
 ): number => {
 	const {slots} = load.server;
 	const inFlight = load.inFlight + load.othersInFlight;
 	const readMs = prompt
-		? countMissingTokens(load, prompt, lastServerId) /
-			settings.prefillTokensPerMs
+		? countMissingTokens(load, prompt, last) / settings.prefillTokensPerMs
 		: 0;
 	const delayMs = prompt ? settings.streamDelayMs : settings.plainDelayMs;
 	return (
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,6 +1,6 @@
 import type {ListedServer} from '@marjoramcove/inventory';
 import type {UpstreamId} from '@marjoramcove/types';
-import {RecentParts} from './recent-parts.ts';
+import {RecentParts, type SentPart} from './recent-parts.ts';
 
 /** A server and what this daemon knows of its load. */
 export type ServerLoad = {
@@ -13,10 +13,10 @@
 	avoidUntilMs: number;
 	/** It said itself that it is leaving; the list may not show it yet. */
 	isClosing: boolean;
-	/** Whether this daemon has sent it a part of a prompt lately. */
-	hasPart: (id: string) => boolean;
+	/** Tokens of a part that this daemon has sent to it lately. */
+	keptTokens: (id: string) => number;
 	/** Remembers the parts of a prompt that was sent to it. */
-	noteParts: (ids: readonly string[]) => void;
+	noteParts: (parts: readonly SentPart[]) => void;
 };
 
 const createLoad = (server: ListedServer): ServerLoad => {
@@ -27,9 +27,9 @@
 		othersInFlight: 0,
 		avoidUntilMs: 0,
 		isClosing: false,
-		hasPart: (id) => parts.has(id),
-		noteParts(ids) {
-			parts.note(ids);
+		keptTokens: (id) => parts.keptTokens(id),
+		noteParts(sent) {
+			parts.note(sent);
 		},
 	};
 };
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -59,7 +59,7 @@
 	requestId: z.string(),
 	usedTokens: z.number(),
 	retentionMs: z.number(),
-	serverId: z.string().optional(),
+	last: z.object({serverId: z.string(), contextTokens: z.number()}).optional(),
 	turn: z
 		.object({
 			previousId: z.string().optional(),
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -1,3 +1,4 @@
+import type {LastTurn} from '@marjoramcove/balancer';
 import {StreamReader} from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {GroupId, UpstreamId} from '@marjoramcove/types';
@@ -26,8 +27,8 @@
 	parts: TurnParts;
 	/** Absent at the start of a line of turns. */
 	chain: Chain | undefined;
-	/** Server of the program's last turn. */
-	lastServerId: UpstreamId | undefined;
+	/** Where the program's last turn ran. */
+	last: LastTurn | undefined;
 	retentionMs: number;
 	isCharged: boolean;
 };
@@ -36,17 +37,28 @@
 	| {type: 'ready'; turn: ReservedTurn}
 	| {type: 'refused'; outcome: RequestOutcome};
 
+/** @param serverId - absent when no server ran the turn. */
 const settlementOf = (
 	{request, parts, retentionMs}: ReservedTurn,
 	reader: StreamReader,
+	serverId?: UpstreamId,
 ) => {
 	const {head, service} = request;
 	const tokensPerEvent = parts.table.service(service)?.engine?.tokensPerEvent;
+	const usedTokens = reader.eventCount * (tokensPerEvent ?? 1);
+	const promptTokens = (head.promptParts ?? []).reduce(
+		(sum, {tokens}) => sum + tokens,
+		0,
+	);
 	return {
 		programId: head.programId!,
 		requestId: head.requestId!,
-		usedTokens: reader.eventCount * (tokensPerEvent ?? 1),
+		usedTokens,
 		retentionMs,
+		last:
+			serverId !== undefined && usedTokens > 0
+				? {serverId, contextTokens: promptTokens + usedTokens}
+				: undefined,
 	};
 };
 
@@ -119,9 +131,9 @@
 		request,
 		parts,
 		chain: chain.status === 'fulfilled' ? chain.value : undefined,
-		lastServerId:
+		last:
 			reserved.status === 'fulfilled' && reserved.value?.status === 'granted'
-				? reserved.value.lastServerId
+				? reserved.value.last
 				: undefined,
 		retentionMs,
 		isCharged,
@@ -201,8 +213,7 @@
 		const startedAtMs = performance.now();
 		await parts.turns.settle(
 			{
-				...settlementOf(turn, reader),
-				serverId,
+				...settlementOf(turn, reader, serverId),
 				turn: describeTurn(turn, input, reader),
 			},
 			{deadlineMs: request.deadlineMs},
@@ -216,17 +227,14 @@
 			? {status: 499, reason: 'caller-left', attempts: 0}
 			: await forwardStream(
 					context,
-					{...request, body, lastServerId: turn.lastServerId},
+					{...request, body, last: turn.last},
 					{...parts, reader, beforeEnd: settleKept},
 				);
 		serverId = outcome.serverId;
 		return {...outcome, events: reader.eventCount};
 	} finally {
 		if (isCharged && !isSettled) {
-			void parts.turns.settleInBackground({
-				...settlementOf(turn, reader),
-				serverId,
-			});
+			void parts.turns.settleInBackground(settlementOf(turn, reader, serverId));
 		}
 	}
 };
--- a/packages/gateway/src/entry/request-context.ts
+++ b/packages/gateway/src/entry/request-context.ts
@@ -1,3 +1,4 @@
+import type {LastTurn} from '@marjoramcove/balancer';
 import type {CallerExchange, RequestHead} from '@marjoramcove/ingress';
 import type {Route} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
@@ -12,8 +13,8 @@
 	body: Uint8Array;
 	/** Time by the monotonic clock at which the answer must be complete. */
 	deadlineMs: number;
-	/** Server of the program's last turn, when it is known. */
-	lastServerId?: UpstreamId;
+	/** Where the program's last turn ran, when it is known. */
+	last?: LastTurn;
 	/** Version of the routing document that decided. */
 	documentVersion: number;
 };
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -78,11 +78,11 @@
 		request: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
 	): ServerLoad | undefined {
-		const {route, head, service, lastServerId} = request;
+		const {route, head, service, last} = request;
 		return chooseServer(this.#table.candidates(service, performance.now()), {
 			zone: this.#context.settings.zone,
 			prompt: route.hasPrompt ? this.#describePrompt(head) : undefined,
-			lastServerId,
+			last,
 			excludedIds,
 			random: Math.random,
 		});
@@ -110,11 +110,11 @@
 		};
 
 		load.inFlight++;
-		const partIds = (request.head.promptParts ?? []).map(({id}) => id);
-		load.noteParts(partIds);
+		const parts = request.head.promptParts ?? [];
+		load.noteParts(parts);
 		this.#popularity.note(
 			request.head.programId ?? request.head.requestId ?? '',
-			partIds,
+			parts.map(({id}) => id),
 		);
 		const sent = this.#client.send(
 			{
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 	type GatewayTiming,
 } from './gateway-settings.ts';
 export {runGateway} from './run-gateway.ts';
+export type {SettingsReader} from './services/settings-service.ts';
 export {
 	deriveReplication,
 	deriveTiming,
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -24,6 +24,10 @@
 } from './services/loads-service.ts';
 import {PeerListenerService, PeersService} from './services/peers-service.ts';
 import {RepairService} from './services/repair-service.ts';
+import {
+	type SettingsReader,
+	SettingsService,
+} from './services/settings-service.ts';
 import {ShardPlannerService} from './services/shard-planner-service.ts';
 import {StoreService} from './services/store-service.ts';
 import {TurnsService} from './services/turns-service.ts';
@@ -88,11 +92,15 @@
 	];
 };
 
-const createServices = (context: GatewayContext): Service[] => {
+const createServices = (
+	context: GatewayContext,
+	readSettings: SettingsReader,
+): Service[] => {
 	const peers = new PeersService(context);
 	const fleet = new FleetService(context);
 	const {role, listen} = context.settings;
 	const common = [
+		new SettingsService(context, readSettings),
 		peers,
 		fleet,
 		...(listen.metrics === undefined
@@ -132,9 +140,9 @@
 	readonly #kernel = new Kernel();
 	#drained: Promise<void> | undefined;
 
-	constructor(context: GatewayContext) {
+	constructor(context: GatewayContext, readSettings: SettingsReader) {
 		this.#context = context;
-		for (const service of createServices(context)) {
+		for (const service of createServices(context, readSettings)) {
 			this.#kernel.register(service);
 		}
 	}
@@ -222,14 +230,16 @@
  * Runs a daemon that finds its peers from seeds until it has been drained by SIGTERM, then resolves
  * with the exit code.
  *
+ * @param readSettings - reads the settings again; seeds may change while the daemon runs.
  * @example
  * ```ts
- * process.exitCode = await runGateway(settings, new MyAdapter());
+ * process.exitCode = await runGateway(settings, new MyAdapter(), readSettings);
  * ```
  */
 export const runGateway = async (
 	settings: GatewaySettings,
 	adapter: GatewayAdapter,
+	readSettings: SettingsReader,
 ): Promise<number> => {
 	const {logger, close} = await createLogger({
 		...settings.logs,
@@ -256,7 +266,7 @@
 				void finish(1);
 			},
 		});
-		const gateway = new Gateway(context);
+		const gateway = new Gateway(context, readSettings);
 		let isDraining = false;
 		handleProcessEvents(context, () => {
 			if (isDraining) {
--- a/packages/gateway/src/services/store-service.ts
+++ b/packages/gateway/src/services/store-service.ts
@@ -200,10 +200,10 @@
 			requestId: asId<RequestId>(input.requestId),
 			usedTokens: input.usedTokens,
 			retentionMs: input.retentionMs,
-			serverId:
-				input.serverId === undefined
-					? undefined
-					: asId<UpstreamId>(input.serverId),
+			last: input.last && {
+				...input.last,
+				serverId: asId<UpstreamId>(input.last.serverId),
+			},
 			turn: turn && {
 				text: turn.text,
 				retentionMs: turn.retentionMs,
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -1,5 +1,6 @@
 export {
 	createTurnsState,
+	type LastTurn,
 	type TurnCommand,
 	type TurnRecord,
 	type TurnResult,
--- a/packages/turns/src/step-turns.test.ts
+++ b/packages/turns/src/step-turns.test.ts
@@ -12,6 +12,7 @@
 import {
 	createTurnsState,
 	type FinishedTurn,
+	type LastTurn,
 	type TurnsState,
 } from './turns-state.ts';
 
@@ -41,12 +42,12 @@
 		usedTokens = 10,
 		turn,
 		nowMs = 0,
-		serverId,
+		last,
 	}: {
 		usedTokens?: number;
 		turn?: FinishedTurn;
 		nowMs?: number;
-		serverId?: UpstreamId;
+		last?: LastTurn;
 	} = {},
 ) =>
 	stepTurns(state, {
@@ -56,7 +57,7 @@
 		requestId: id(requestId),
 		usedTokens,
 		retentionMs: 1000,
-		serverId,
+		last,
 		turn,
 	});
 
@@ -86,14 +87,15 @@
 			expect(reserve(state, 'b', 50).status).toBe('granted');
 		});
 
-		it('names the server of the last settled turn, which holds the prompt', () => {
+		it('tells where the last settled turn ran, for the next one', () => {
 			const state = createTurnsState();
 			reserve(state, 'a', 10);
-			settle(state, 'a', {serverId: asId<UpstreamId>('s1')});
+			const last = {serverId: asId<UpstreamId>('s1'), contextTokens: 900};
+			settle(state, 'a', {last});
 			settle(state, 'unsent', {usedTokens: 0});
 			expect(reserve(state, 'b', 10)).toEqual({
 				status: 'granted',
-				lastServerId: 's1',
+				last,
 			});
 		});
 
--- a/packages/turns/src/step-turns.ts
+++ b/packages/turns/src/step-turns.ts
@@ -61,9 +61,9 @@
 		return {status: 'already-settled'};
 	}
 
-	const {lastServerId} = program;
+	const {last} = program;
 	if (program.reservedTokens.has(requestId)) {
-		return {status: 'granted', lastServerId};
+		return {status: 'granted', last};
 	}
 
 	const reservedTokens = sumReserved(program);
@@ -78,7 +78,7 @@
 		'program-budget',
 		command,
 	);
-	return {status: 'granted', lastServerId};
+	return {status: 'granted', last};
 };
 
 /** A turn keeps everything before it for as long as itself. */
@@ -127,7 +127,7 @@
 	program.reservedTokens.delete(requestId);
 	program.spentTokens += usedTokens;
 	program.settled.add(requestId);
-	program.lastServerId = command.serverId ?? program.lastServerId;
+	program.last = command.last ?? program.last;
 	if (program.settled.size > SETTLED_TURNS_KEPT) {
 		const [oldest] = program.settled;
 		program.settled.delete(oldest!);
--- a/packages/turns/src/turns-machine.ts
+++ b/packages/turns/src/turns-machine.ts
@@ -4,10 +4,11 @@
 	StateMachine,
 } from '@marjoramcove/consensus';
 import {BinaryCodec} from '@marjoramcove/transport';
-import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
+import type {ProgramId, RequestId} from '@marjoramcove/types';
 import {stepTurns} from './step-turns.ts';
 import {
 	createTurnsState,
+	type LastTurn,
 	type ProgramBudget,
 	type TurnCommand,
 	type TurnRecord,
@@ -28,7 +29,7 @@
 			reserved: Array<[RequestId, number]>,
 			settled: RequestId[],
 			expiresAtMs: number,
-			lastServerId?: UpstreamId,
+			last?: LastTurn,
 		]
 	>;
 	turns: Array<[RequestId, TurnRecord]>;
@@ -54,7 +55,7 @@
 	[...program.reservedTokens],
 	[...program.settled],
 	program.expiresAtMs,
-	program.lastServerId,
+	program.last,
 ];
 
 const unpackProgram = ([
@@ -63,14 +64,14 @@
 	reserved,
 	settled,
 	expiresAtMs,
-	lastServerId,
+	last,
 ]: Snapshot['programs'][number]): [ProgramId, ProgramBudget] => [
 	id,
 	{
 		spentTokens,
 		reservedTokens: new Map(reserved),
 		settled: new Set(settled),
-		lastServerId,
+		last,
 		expiresAtMs,
 	},
 ];
--- a/packages/turns/src/turns-state.ts
+++ b/packages/turns/src/turns-state.ts
@@ -1,5 +1,8 @@
 import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
 
+/** Where a turn ran, and the tokens of its prompt and its answer. */
+export type LastTurn = {serverId: UpstreamId; contextTokens: number};
+
 /** What a program has spent. */
 export type ProgramBudget = {
 	spentTokens: number;
@@ -7,8 +10,8 @@
 	reservedTokens: Map<RequestId, number>;
 	/** Turns that are settled, oldest first, so that a repeated command changes nothing. */
 	settled: Set<RequestId>;
-	/** Server of the last settled turn; it holds what the program has said so far. */
-	lastServerId?: UpstreamId;
+	/** Where the last settled turn ran; that server keeps what was said so far. */
+	last?: LastTurn;
 	expiresAtMs: number;
 };
 
@@ -56,14 +59,14 @@
 			/** Tokens that were handed to the caller. */
 			usedTokens: number;
 			retentionMs: number;
-			/** Server that ran the turn. */
-			serverId?: UpstreamId;
+			/** Absent when no server ran the turn. */
+			last?: LastTurn;
 			turn?: FinishedTurn;
 	  }
 	| {type: 'expire'; nowMs: number};
 
 export type TurnResult =
-	| {status: 'granted'; lastServerId?: UpstreamId}
+	| {status: 'granted'; last?: LastTurn}
 	/** The rest of the budget is smaller than the most that the turn may generate. */
 	| {status: 'budget-spent'; spentTokens: number; reservedTokens: number}
 	/** The turn had been settled before; it must not run again. */
