Explain requests from logs; find shard leaders sooner after a restart

marjoramcove explain puts the lines of a request in order and says what decided.

Connections are given up after 400 ms, and an entry without a report of a leader asks any replica. A turn may wait 0.6 instead of 0.4 of its time: a caller has few attempts, and a refusal uses one up.

--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -2,6 +2,7 @@
 import {chooseExitCode, exitCodes} from './exit-codes.ts';
 import {createUsageError, describeError, formatError} from './cli-errors.ts';
 import type {CommandContext, CommonArguments} from './command-context.ts';
+import {addExplain} from './commands/explain.ts';
 import {addOperatorCommands} from './commands/operator-commands.ts';
 import {addProgramCommands} from './commands/program-commands.ts';
 import {addResourceCommands} from './commands/resource-commands.ts';
@@ -33,6 +34,7 @@
 	addResourceCommands(parser, context);
 	addOperatorCommands(parser, context);
 	addProgramCommands(parser, context);
+	addExplain(parser, context);
 	return parser
 		.completion('completion', 'print a completion script for the shell')
 		.demandCommand(1, 'A command is missing.')
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -10,7 +10,7 @@
 import type {Upstreams} from './upstreams.ts';
 
 /** Share of its time that a turn may wait for its shard before it is refused. */
-const RESERVE_TIME_SHARE = 0.4;
+const RESERVE_TIME_SHARE = 0.6;
 
 export type TurnParts = {
 	upstreams: Upstreams;
--- a/packages/gateway/src/find-shard-leader.test.ts
+++ b/packages/gateway/src/find-shard-leader.test.ts
@@ -39,6 +39,11 @@
 		}
 	});
 
+	it('asks any replica while no leader has been reported', () => {
+		const members = [createMember('a'), createMember('b')];
+		expect(chooseOtherReplica(members, undefined, 0)).toBe('a');
+	});
+
 	it('has no answer when the failed one is the only one', () => {
 		const failedId = asId<DaemonId>('only');
 		expect(
--- a/packages/gateway/src/find-shard-leader.ts
+++ b/packages/gateway/src/find-shard-leader.ts
@@ -28,6 +28,7 @@
  * Chooses whom to ask for a shard whose leader failed: another live `state` daemon. The disks of the
  * first placement may all have been replaced since.
  *
+ * @param failedId - left out; `undefined` when no leader was known.
  * @param random - uniform in [0, 1).
  * @example
  * ```ts
@@ -36,7 +37,7 @@
  */
 export const chooseOtherReplica = (
 	members: readonly FleetMember[],
-	failedId: DaemonId,
+	failedId: DaemonId | undefined,
 	random: number,
 ): DaemonId | undefined => {
 	const others = members.filter(
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -25,6 +25,8 @@
 	electionTimeoutMaxMs: number;
 	linkHeartbeatMs: number;
 	linkSilenceMs: number;
+	/** A VM without power answers nothing; another one is tried after this time. */
+	linkConnectMs: number;
 };
 
 /** Settings of a daemon whose peers are not listed: it finds them from seeds. */
@@ -73,4 +75,5 @@
 	electionTimeoutMaxMs: 900,
 	linkHeartbeatMs: 300,
 	linkSilenceMs: 1200,
+	linkConnectMs: 400,
 };
--- a/packages/gateway/src/services/peers-service.ts
+++ b/packages/gateway/src/services/peers-service.ts
@@ -37,6 +37,7 @@
 			link: {
 				heartbeatMs: timing.linkHeartbeatMs,
 				silenceMs: timing.linkSilenceMs,
+				connectTimeoutMs: timing.linkConnectMs,
 			},
 			backoff: CONNECT_BACKOFF,
 			onEvent(event, {daemonId: peer, channel}) {
--- a/packages/gateway/src/services/turns-service.ts
+++ b/packages/gateway/src/services/turns-service.ts
@@ -229,9 +229,12 @@
 	}
 
 	#findLeader(groupId: GroupId): DaemonId | undefined {
+		const {members} = this.#context.view;
 		return (
 			this.#hints.get(groupId) ??
-			findShardLeader(this.#context.view.members, groupId)
+			findShardLeader(members, groupId) ??
+			// Any replica knows its leader, often before the leader's report has arrived here.
+			chooseOtherReplica(members, undefined, Math.random())
 		);
 	}
 
