--- /dev/null
+++ b/packages/gateway/src/derive-timing.test.ts
@@ -0,0 +1,33 @@
+import {describe, expect, it} from 'vitest';
+import {deriveReplication, deriveTiming} from './derive-timing.ts';
+
+describe('deriveTiming', () => {
+	it('ends a stop before the process is killed, and after slow callers have left', () => {
+		for (const stopGraceMs of [3000, 8000, 30_000]) {
+			const {addressTtlMs, entryDrainMs, stopDeadlineMs} = deriveTiming({
+				stopGraceMs,
+				addressTtlMaxMs: 5000,
+			});
+			expect(stopDeadlineMs).toBeLessThan(stopGraceMs);
+			expect(entryDrainMs).toBeLessThan(stopDeadlineMs);
+			expect(addressTtlMs * 3).toBeLessThan(entryDrainMs);
+		}
+	});
+
+	it('keeps the limit of the surroundings', () => {
+		const {addressTtlMs} = deriveTiming({
+			stopGraceMs: 30_000,
+			addressTtlMaxMs: 500,
+		});
+		expect(addressTtlMs).toBe(500);
+	});
+});
+
+describe('deriveReplication', () => {
+	it('leaves a majority when the stated number of disks is lost', () => {
+		for (const lostDisks of [1, 2, 3]) {
+			const {factor} = deriveReplication({lostDisks});
+			expect(factor - lostDisks).toBeGreaterThan(factor / 2);
+		}
+	});
+});
