--- a/packages/cli/src/run-cli.test.ts
+++ b/packages/cli/src/run-cli.test.ts
@@ -124,6 +124,58 @@
 		daemons: [{daemonId: 'd1', revision: 8, state: 'in-force'}],
 	};
 
+	describe('status', () => {
+		const status = {
+			daemon: 'control-1',
+			role: 'control',
+			phase: 'ready',
+			documentVersion: 12,
+			confirmedAgeMs: 80,
+			controlLeader: 'control-2',
+			members: [
+				{
+					name: 'state-1',
+					daemonId: '10.0.0.4:7320',
+					role: 'state',
+					zone: 'a',
+					phase: 'ready',
+					diskId: 'disk-1',
+				},
+			],
+			shards: [
+				{
+					groupId: 'shard-0',
+					leaderName: 'state-1',
+					term: 3,
+					voters: ['disk-1', 'disk-9'],
+					isComplete: false,
+				},
+			],
+			retiringDisks: [],
+			servers: 26,
+			leavingServers: 2,
+		};
+
+		it('shows the configuration in force and which copies are missing', async () => {
+			const address = await serve((request, response) => {
+				answerJson(response, request.url === '/status' ? status : {}, 200);
+			});
+			const {code, out} = await run(['status', '--address', address]);
+			expect(code).toBe(0);
+			expect(out).toContain('configuration 12');
+			expect(out).toContain('state-1,lost');
+			expect(out).toContain('in repair');
+		});
+
+		it('writes the same as JSON for programs', async () => {
+			const address = await serve((_request, response) => {
+				answerJson(response, status);
+			});
+			const {out} = await run(['status', '--address', address, '-o', 'json']);
+			expect(JSON.parse(out)).toEqual(status);
+		});
+	});
+
 	describe('usage', () => {
 		it('names a missing address', async () => {
 			const {code, err} = await run(['list', 'daemons']);
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -6,6 +6,7 @@
 import {addOperatorCommands} from './commands/operator-commands.ts';
 import {addProgramCommands} from './commands/program-commands.ts';
 import {addResourceCommands} from './commands/resource-commands.ts';
+import {addStatus} from './commands/status.ts';
 import {formatJson} from './output.ts';
 
 const epilogue = `Exit codes: 0 ok, 1 failed, 2 bad usage or input, 3 conflict, 4 refused and not run, 5 outcome unknown.`;
@@ -35,6 +36,7 @@
 	addOperatorCommands(parser, context);
 	addProgramCommands(parser, context);
 	addExplain(parser, context);
+	addStatus(parser, context);
 	return parser
 		.completion('completion', 'print a completion script for the shell')
 		.demandCommand(1, 'A command is missing.')
--- /dev/null
+++ b/packages/gateway/src/describe-deployment.test.ts
@@ -0,0 +1,114 @@
+import type {FleetMember} from '@marjoramcove/fleet';
+import {
+	asId,
+	type DaemonId,
+	type DiskId,
+	type GroupId,
+	type IncarnationId,
+} from '@marjoramcove/types';
+import {describe, expect, it} from 'vitest';
+import {describeDeployment} from './describe-deployment.ts';
+import {FleetView} from './fleet-view.ts';
+import {
+	DEFAULT_GATEWAY_TIMING,
+	type GatewaySettings,
+} from './gateway-settings.ts';
+
+const groupId = asId<GroupId>('shard-0');
+
+const createStore = (name: string, voters?: string[]): FleetMember => ({
+	daemonId: asId<DaemonId>(`${name}:1`),
+	name,
+	incarnation: asId<IncarnationId>('first'),
+	sequence: 1,
+	role: 'state',
+	zone: 'a',
+	phase: 'ready',
+	diskId: asId<DiskId>(`disk-${name}`),
+	ledGroups: voters
+		? [
+				{
+					groupId,
+					term: 4,
+					voters: voters.map((voter) => asId<DiskId>(`disk-${voter}`)),
+				},
+			]
+		: [],
+	documentVersion: 0,
+});
+
+const settings: GatewaySettings = {
+	name: 'control-1',
+	daemonId: asId<DaemonId>('control-1:1'),
+	role: 'control',
+	zone: 'a',
+	seeds: [],
+	isFirstFormation: false,
+	listen: {},
+	replication: {factor: 3, shardCount: 1},
+	timing: DEFAULT_GATEWAY_TIMING,
+	logs: {level: 'info', destination: 'stdout'},
+};
+
+const describeWith = (
+	members: FleetMember[],
+	retiringDisks: DiskId[] = [],
+	confirmedAtMs?: number,
+) => {
+	const view = new FleetView();
+	view.merge({
+		members: {stamp: {term: 1, sequence: 1}, items: members},
+		shardMap: {version: 1, shards: [{groupId, voters: []}], retiringDisks},
+	});
+	if (confirmedAtMs !== undefined) {
+		view.confirm(confirmedAtMs);
+	}
+
+	return describeDeployment({view, settings, phase: 'ready'}, 1000);
+};
+
+describe('describeDeployment', () => {
+	const [b, c] = [createStore('b'), createStore('c')];
+
+	describe('shards', () => {
+		it('are complete when every copy is on the disk of a live daemon', () => {
+			const status = describeWith([createStore('a', ['a', 'b', 'c']), b, c]);
+			expect(status.shards[0]).toMatchObject({
+				leaderName: 'a',
+				term: 4,
+				isComplete: true,
+			});
+		});
+
+		it('are not complete while a copy is missing, on a lost disk or on one that is being emptied', () => {
+			const [shortOf] = describeWith([
+				createStore('a', ['a', 'b']),
+				b,
+				c,
+			]).shards;
+			const [lost] = describeWith([
+				createStore('a', ['a', 'b', 'gone']),
+				b,
+				c,
+			]).shards;
+			const [retiring] = describeWith(
+				[createStore('a', ['a', 'b', 'c']), b, c],
+				[asId<DiskId>('disk-c')],
+			).shards;
+			expect([
+				shortOf?.isComplete,
+				lost?.isComplete,
+				retiring?.isComplete,
+			]).toEqual([false, false, false]);
+		});
+
+		it('are not complete while no leader has reported', () => {
+			expect(describeWith([b, c]).shards[0]?.isComplete).toBe(false);
+		});
+	});
+
+	it('tells the age of the last confirmation only when there was one', () => {
+		expect(describeWith([b]).confirmedAgeMs).toBeUndefined();
+		expect(describeWith([b], [], 400).confirmedAgeMs).toBe(600);
+	});
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,11 @@
 	type GatewaySettings,
 	type GatewayTiming,
 } from './gateway-settings.ts';
+export type {
+	DeploymentStatus,
+	MemberStatus,
+	ShardStatus,
+} from './describe-deployment.ts';
 export {runGateway} from './run-gateway.ts';
 export type {SettingsReader} from './services/settings-service.ts';
 export {
--- a/packages/gateway/src/services/http-service.ts
+++ b/packages/gateway/src/services/http-service.ts
@@ -2,6 +2,7 @@
 import {splitAddress} from '@marjoramcove/ingress';
 import {Service} from '@marjoramcove/kernel';
 import {chooseEntryAddresses} from '../choose-entry-addresses.ts';
+import {describeDeployment} from '../describe-deployment.ts';
 import type {DirectoryApi} from '../gateway-adapter.ts';
 import type {GatewayContext} from '../gateway-context.ts';
 
@@ -65,10 +66,17 @@
 	},
 });
 
-/** Serves metrics as text. */
+/** Serves metrics as text, and on `/status` what this daemon knows of the deployment as JSON. */
 export const createMetricsListener =
-	({metrics}: GatewayContext): RequestListener =>
-	(_request, response) => {
+	(context: GatewayContext): RequestListener =>
+	(request, response) => {
+		if (request.url === '/status') {
+			const status = describeDeployment(context, performance.now());
+			response.setHeader('Content-Type', 'application/json');
+			response.end(JSON.stringify(status));
+			return;
+		}
+
 		response.setHeader('Content-Type', 'text/plain; version=0.0.4');
-		response.end(metrics.render());
+		response.end(context.metrics.render());
 	};
