--- a/packages/gateway/src/entry/forward-plain.ts
+++ b/packages/gateway/src/entry/forward-plain.ts
@@ -5,7 +5,11 @@
 import type {GatewayContext} from '../gateway-context.ts';
 import {refuse, type Refusal} from './answer-caller.ts';
 import {findAnswerFault} from './find-answer-fault.ts';
-import type {RequestContext, RequestOutcome} from './request-context.ts';
+import {
+	type RequestContext,
+	type RequestOutcome,
+	sinceReceipt,
+} from './request-context.ts';
 import type {Upstreams} from './upstreams.ts';
 
 /** Servers to which one request is offered that none of them runs. */
@@ -42,9 +46,11 @@
 		const sent = upstreams.send(request, load, table, {
 			onSent() {
 				verdict = 'may-have-run';
+				request.progress.sentMs = sinceReceipt(request);
 			},
 			onStart(answer) {
 				start = answer;
+				request.progress.firstByteMs = sinceReceipt(request);
 				const fault = findAnswerFault(request.head, answer);
 				if (fault !== undefined) {
 					sent.cancel();
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -10,7 +10,11 @@
 import type {GatewayContext} from '../gateway-context.ts';
 import {refuse, type Refusal} from './answer-caller.ts';
 import {findAnswerFault} from './find-answer-fault.ts';
-import type {RequestContext, RequestOutcome} from './request-context.ts';
+import {
+	type RequestContext,
+	type RequestOutcome,
+	sinceReceipt,
+} from './request-context.ts';
 import type {Upstreams} from './upstreams.ts';
 
 /** Servers to which one request is offered that none of them runs. */
@@ -22,7 +26,7 @@
 
 type Offer =
 	/** Head and events go to the caller. */
-	| {type: 'streaming'; end: StreamEnd; firstByteMs?: number}
+	| {type: 'streaming'; end: StreamEnd}
 	/** A whole answer that is not a stream of events. */
 	| {type: 'answered'; start: AnswerStart & {head: AnswerHead}; body: Buffer}
 	| {type: 'failed'; verdict: Verdict; reason: string}
@@ -49,7 +53,6 @@
 	#verdict: Verdict = 'not-run';
 	#isStreaming = false;
 	#isOver = false;
-	#firstByteMs: number | undefined;
 
 	constructor(
 		request: RequestContext,
@@ -80,6 +83,7 @@
 		this.#sent = upstreams.send(request, load, table, {
 			onSent: () => {
 				this.#verdict = 'may-have-run';
+				request.progress.sentMs = sinceReceipt(request);
 			},
 			onStart: (answer) => {
 				this.#noteStart(answer);
@@ -114,8 +118,8 @@
 			return;
 		}
 
-		const {exchange} = this.#request;
-		this.#firstByteMs ??= performance.now() - exchange.receivedAtMs;
+		const {exchange, progress} = this.#request;
+		progress.firstByteMs ??= sinceReceipt(this.#request);
 		this.#reader.push(chunk);
 		exchange.write(chunk);
 		if (exchange.isCongested) {
@@ -128,11 +132,7 @@
 
 	#noteEnd(): void {
 		if (this.#isStreaming) {
-			this.#finish({
-				type: 'streaming',
-				end: {type: 'complete'},
-				firstByteMs: this.#firstByteMs,
-			});
+			this.#finish({type: 'streaming', end: {type: 'complete'}});
 		} else {
 			const body = Buffer.concat(this.#chunks);
 			this.#finish({type: 'answered', start: this.#start!, body});
@@ -142,11 +142,7 @@
 	#fail(reason: string, verdict: Verdict): void {
 		this.#finish(
 			this.#isStreaming
-				? {
-						type: 'streaming',
-						end: {type: 'broken', reason},
-						firstByteMs: this.#firstByteMs,
-					}
+				? {type: 'streaming', end: {type: 'broken', reason}}
 				: {type: 'failed', verdict, reason},
 		);
 	}
@@ -244,8 +240,7 @@
 				{end: offer.end, serverId},
 				parts,
 			);
-			const {firstByteMs} = offer;
-			return {status: 200, reason, firstByteMs, ...done};
+			return {status: 200, reason, ...done};
 		}
 
 		if (offer.type === 'answered' && !offer.start.head.isNotRun) {
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -6,7 +6,11 @@
 import type {TurnsService} from '../services/turns-service.ts';
 import {refuse} from './answer-caller.ts';
 import {forwardStream} from './forward-stream.ts';
-import type {RequestContext, RequestOutcome} from './request-context.ts';
+import {
+	type RequestContext,
+	type RequestOutcome,
+	sinceReceipt,
+} from './request-context.ts';
 import type {Upstreams} from './upstreams.ts';
 
 /** Share of its time that a turn may wait for its shard before it is refused. */
@@ -124,9 +128,7 @@
 			? parts.turns.readChain(previousTurnId, {deadlineMs})
 			: undefined,
 	]);
-	context.stages.record(performance.now() - exchange.receivedAtMs, {
-		stage: 'prepare-turn',
-	});
+	request.progress.preparedMs = sinceReceipt(request);
 	const turn: ReservedTurn = {
 		request,
 		parts,
@@ -210,7 +212,6 @@
 			return;
 		}
 
-		const startedAtMs = performance.now();
 		await parts.turns.settle(
 			{
 				...settlementOf(turn, reader, serverId),
@@ -219,7 +220,7 @@
 			{deadlineMs: request.deadlineMs},
 		);
 		isSettled = true;
-		context.stages.record(performance.now() - startedAtMs, {stage: 'settle'});
+		request.progress.settledMs = sinceReceipt(request);
 	};
 
 	try {
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {MarjoramcoveError} from '@marjoramcove/errors';
 import type {MemberPhase} from '@marjoramcove/fleet';
-import type {Logger} from '@marjoramcove/logger';
+import type {DroppedLines, Logger} from '@marjoramcove/logger';
 import {
 	type Counter,
 	type DurationHistogram,
@@ -17,6 +17,8 @@
 	settings: GatewaySettings;
 	adapter: GatewayAdapter;
 	logger: Logger;
+	/** Log lines that were left out because their reader was too slow. */
+	droppedLogLines: Readonly<DroppedLines>;
 	metrics: MetricsRegistry;
 	/** Changes at each start of the process. */
 	incarnation: IncarnationId;
@@ -34,11 +36,14 @@
  *
  * @example
  * ```ts
- * const context = createGatewayContext({settings, adapter, logger, fail});
+ * const context = createGatewayContext({settings, adapter, logger, droppedLogLines, fail});
  * ```
  */
 export const createGatewayContext = (
-	given: Pick<GatewayContext, 'adapter' | 'fail' | 'logger' | 'settings'>,
+	given: Pick<
+		GatewayContext,
+		'adapter' | 'droppedLogLines' | 'fail' | 'logger' | 'settings'
+	>,
 ): GatewayContext => {
 	const metrics = new MetricsRegistry();
 	return {
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -241,7 +241,7 @@
 	adapter: GatewayAdapter,
 	readSettings: SettingsReader,
 ): Promise<number> => {
-	const {logger, close} = await createLogger({
+	const {logger, dropped, close} = await createLogger({
 		...settings.logs,
 		fields: {daemon: settings.name},
 	});
@@ -255,6 +255,7 @@
 			settings,
 			adapter,
 			logger,
+			droppedLogLines: dropped,
 			fail(error) {
 				logger.error({
 					event: 'daemon-failed',
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -155,20 +155,20 @@
 		}
 
 		let outcome: RequestOutcome;
-		let routeName: string | undefined;
+		let request: RequestContext | undefined;
 		try {
 			const prepared = await this.#prepare(exchange, head);
 			if ('outcome' in prepared) {
 				outcome = prepared.outcome;
 			} else {
-				routeName = prepared.request.route.name;
-				outcome = await this.#forward(prepared.request, prepared.table);
+				({request} = prepared);
+				outcome = await this.#forward(request, prepared.table);
 			}
 		} catch (error) {
 			outcome = this.#failRequest(exchange, head, error);
 		}
 
-		this.#report(exchange, head, routeName, outcome);
+		this.#report(exchange, head, request, outcome);
 	}
 
 	/** Finds the route and reads the body, or refuses. */
@@ -233,6 +233,7 @@
 				body: body.bytes,
 				deadlineMs: exchange.receivedAtMs + timeLimitMs,
 				documentVersion: version,
+				progress: {},
 			},
 		};
 	}
@@ -301,32 +302,38 @@
 		);
 	}
 
+	/** @param request - absent when it was refused before its route was known. */
 	#report(
 		exchange: CallerExchange,
 		head: RequestHead,
-		routeName: string | undefined,
+		request: RequestContext | undefined,
 		outcome: RequestOutcome,
 	): void {
+		const {stages, logger} = this.#context;
 		const durationMs = performance.now() - exchange.receivedAtMs;
-		const {firstByteMs} = outcome;
-		this.#context.logger.info({
+		const route = request?.route.name;
+		const progress = Object.entries(request?.progress ?? {});
+		logger.info({
 			event: 'request-finished',
 			request: head.requestId,
 			program: head.programId,
-			route: routeName,
+			route,
 			documentVersion: this.#table?.document.version,
 			status: outcome.status,
 			reason: outcome.reason,
 			server: outcome.serverId,
 			attempts: outcome.attempts,
 			events: outcome.events,
-			firstByteMs: firstByteMs && Math.round(firstByteMs),
+			...Object.fromEntries(
+				progress.map(([stage, sinceMs]) => [stage, Math.round(sinceMs)]),
+			),
 			durationMs: Math.round(durationMs),
 			deadlineMs: head.deadlineMs,
 		});
-		this.#context.stages.record(durationMs, {
-			stage: 'request',
-			route: routeName ?? 'none',
-		});
+		for (const [stage, sinceMs] of progress) {
+			stages.record(sinceMs, {stage: stage.slice(0, -'Ms'.length)});
+		}
+
+		stages.record(durationMs, {stage: 'request', route: route ?? 'none'});
 	}
 }
--- a/packages/gateway/src/services/http-service.ts
+++ b/packages/gateway/src/services/http-service.ts
@@ -77,6 +77,15 @@
 			return;
 		}
 
+		const {metrics, droppedLogLines} = context;
+		const dropped = metrics.gauge(
+			'marjoramcove_log_lines_dropped',
+			'Log lines that were left out since the start because their reader was too slow.',
+		);
+		for (const [kind, count] of Object.entries(droppedLogLines)) {
+			dropped.set(count, {kind});
+		}
+
 		response.setHeader('Content-Type', 'text/plain; version=0.0.4');
-		response.end(context.metrics.render());
+		response.end(metrics.render());
 	};
--- a/packages/gateway/src/services/settings-service.test.ts
+++ b/packages/gateway/src/services/settings-service.test.ts
@@ -25,10 +25,14 @@
 const unusedAdapter = Object.create(GatewayAdapter.prototype) as GatewayAdapter;
 
 const createContext = async (settings: GatewaySettings) => {
-	const {logger} = await createLogger({level: 'error', destination: 'stderr'});
+	const {logger, dropped} = await createLogger({
+		level: 'error',
+		destination: 'stderr',
+	});
 	return createGatewayContext({
 		settings,
 		logger,
+		droppedLogLines: dropped,
 		adapter: unusedAdapter,
 		fail() {
 			throw new Error('The daemon must not fail.');
--- a/packages/logger/src/create-logger.ts
+++ b/packages/logger/src/create-logger.ts
@@ -1,6 +1,6 @@
-import type {Transform} from 'node:stream';
 import {type Logger, pino, stdTimeFunctions} from 'pino';
-import * as pinoLogfmt from 'pino-logfmt';
+import {BoundedWriter, type DroppedLines} from './bounded-writer.ts';
+import {formatLine} from './format-line.ts';
 
 /** Levels of the `logs.level` setting, the most detailed first. */
 export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error'] as const;
@@ -13,24 +13,30 @@
 	destination: string;
 	/** Fields added to every line, such as the id of the daemon. */
 	fields?: Record<string, string>;
+	/** Bytes of lines that may wait for a slow reader before lines are left out. */
+	bufferSizeBytes?: number;
 };
 
 /** A logger and the means to flush it before the process exits. */
 export type ClosableLogger = {
 	logger: Logger;
-	/** Writes what is buffered and closes the destination. */
+	/** Lines that were left out because their reader was too slow. */
+	dropped: Readonly<DroppedLines>;
+	/** Writes what is waiting and closes the destination. */
 	close(): Promise<void>;
 };
 
-/** The default export of pino-logfmt, which its type declarations leave out. */
-const {default: buildLogfmtStream} = pinoLogfmt as unknown as {
-	default: (options: pinoLogfmt.LogFmtTransportOptions) => Promise<Transform>;
-};
+/** About a thousand lines. */
+const DEFAULT_BUFFER_SIZE_BYTES = 256 * 1024;
 
 const DESTINATION_DESCRIPTORS: Record<string, number> = {stdout: 1, stderr: 2};
 
+/** Levels that tell of something that failed. */
+const IMPORTANT_LEVELS = new Set(['warn', 'error', 'fatal']);
+
 /**
- * Creates a logger that writes one line of key=value pairs per event.
+ * Creates a logger that writes one line of key=value pairs per event and never waits for the reader of
+ * its lines.
  *
  * The lines are formatted on the main thread, because a worker thread would take memory that the
  * daemon does not have to spare.
@@ -47,12 +53,19 @@
 	level,
 	destination,
 	fields = {},
+	bufferSizeBytes = DEFAULT_BUFFER_SIZE_BYTES,
 }: LoggerOptions): Promise<ClosableLogger> => {
-	const stream = await buildLogfmtStream({
+	const writer = await BoundedWriter.open({
 		destination: DESTINATION_DESCRIPTORS[destination] ?? destination,
-		escapeMultilineStrings: true,
-		flattenNestedObjects: true,
-		convertToSnakeCase: false,
+		bufferSizeBytes,
+		describeDropped: (dropped) =>
+			`${formatLine({
+				level: 'warn',
+				time: new Date().toISOString(),
+				...fields,
+				event: 'log-lines-dropped',
+				...dropped,
+			})}\n`,
 	});
 	const logger = pino(
 		{
@@ -61,12 +74,18 @@
 			timestamp: stdTimeFunctions.isoTime,
 			formatters: {level: (label) => ({level: label})},
 		},
-		stream,
+		{
+			write(json: string) {
+				const record = JSON.parse(json) as Record<string, unknown>;
+				writer.write(`${formatLine(record)}\n`, {
+					isImportant: IMPORTANT_LEVELS.has(String(record.level)),
+				});
+			},
+		},
 	);
-	const close = async () =>
-		new Promise<void>((resolve) => {
-			stream.once('close', resolve);
-			stream.end();
-		});
-	return {logger, close};
+	return {
+		logger,
+		dropped: writer.dropped,
+		close: async () => writer.close(),
+	};
 };
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,3 +1,4 @@
+export type {DroppedLines} from './bounded-writer.ts';
 export {
 	type ClosableLogger,
 	createLogger,
