Place prompts by what the servers keep, as all daemons tell

Ruled out: the queues of the entries (1 to 3 ms) and the reservation (20 ms).

Daemons now tell which shared parts they sent where, with the loads; a part that no server is known to keep is read on the same few servers by all of them. Reading weighs more, streams beside it less.

--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -1,14 +1,7 @@
-import type {UpstreamId} from '@marjoramcove/types';
+import {hashText, type UpstreamId} from '@marjoramcove/types';
+import type {PromptPart} from './recent-parts.ts';
 import type {ServerLoad} from './server-table.ts';
 
-/** A part of a prompt, in the order of the prompt. */
-export type PromptPart = {
-	id: string;
-	tokens: number;
-	/** Many programs share it, so every busy engine keeps it. */
-	isCommon?: boolean;
-};
-
 /** The server of a program's last turn, which keeps what was said up to then. */
 export type LastTurn = {
 	serverId: UpstreamId;
@@ -20,64 +13,129 @@
 export type ServerChoice = {
 	/** Zone of this daemon. */
 	zone: string;
-	/** Parts of the prompt; absent for plain requests. */
+	/** Parts of the prompt, in their order; absent for plain requests. */
 	prompt?: readonly PromptPart[];
 	/** Where the last turn of the program ran. */
 	last?: LastTurn;
 	/** Servers that this request has been sent to already. */
 	excludedIds: ReadonlySet<UpstreamId>;
+	nowMs: number;
 	/** Uniform in [0, 1). */
 	random: () => number;
 };
 
 /** Figures of {@link estimateCostMs}. */
 export type BalancerSettings = {
-	/** Speed at which an engine reads a prompt, in tokens per millisecond. */
+	/** Speed at which an engine reads a prompt, in tokens per millisecond; lower values hold sessions longer. */
 	prefillTokensPerMs: number;
+	/** Share of the reading time by which each stream beside it is held up. */
+	readingDelayShare: number;
 	/** Delay that each request beside it adds to a stream. */
 	streamDelayMs: number;
+	/** Delay for each request beyond the slots of a server, where it has prompts to read. */
+	streamQueueMs: number;
 	/** Delay that each request beside it adds to a plain request while the server has free slots. */
 	plainDelayMs: number;
-	/** Delay for each request beyond the slots of a server. */
-	queueDelayMs: number;
+	/** The same for a plain request. */
+	plainQueueMs: number;
 	/** Cost of leaving the zone: a longer way and traffic between zones. */
 	otherZoneMs: number;
+	/** Cost of a first part on one more server, which evicts others there, as a share of its reading. */
+	newPartShare: number;
+	/**
+	 * Largest handicap of a server that a first part does not belong to, as a share of its reading. All
+	 * daemons give a part the same order of servers, so that they read it on the same few ones.
+	 */
+	orderShare: number;
+	/** Range of a random factor, so that daemons with the same view spread their requests. */
+	noiseShare: number;
 };
 
 /**
- * Defaults. Prefill and stream delay are of the order of the two engines in docs/measurements.md
- * (170 to 227 tokens/ms; 27 ms an event alone, 1.5 to 2 ms more for each request beside it, 10 events).
+ * Defaults, found with the site scenarios of `npm run measure -- sites`: worth is within 0.02 of its
+ * best for half and twice the delays, and falls to 0.2 on the largest sites where a stream beside a
+ * request is taken to cost as much as 15 ms, because sessions then leave what their servers keep.
  */
 export const DEFAULT_BALANCER_SETTINGS: BalancerSettings = {
-	prefillTokensPerMs: 200,
-	streamDelayMs: 15,
+	prefillTokensPerMs: 100,
+	readingDelayShare: 1.3,
+	streamDelayMs: 1.5,
+	streamQueueMs: 12,
 	plainDelayMs: 4,
-	queueDelayMs: 60,
-	otherZoneMs: 8,
+	plainQueueMs: 60,
+	otherZoneMs: 2,
+	newPartShare: 0.35,
+	orderShare: 1,
+	noiseShare: 0.3,
 };
 
+const HASH_RANGE = 2 ** 32;
+
 const sumTokens = (parts: readonly PromptPart[]): number =>
 	parts.reduce((sum, {tokens}) => sum + tokens, 0);
 
-/** Tokens that a server has to read: what it lacks of the first part that it does not keep, and the rest. */
-const countMissingTokens = (
-	{server, keptTokens}: ServerLoad,
+/** Tokens from the start of the prompt that a server keeps; nothing counts behind a part that it lacks. */
+const countKeptTokens = (
+	{server, parts}: ServerLoad,
+	prompt: readonly PromptPart[],
+	{last, nowMs}: ServerChoice,
+): number => {
+	let sentTokens = 0;
+	for (const {id, tokens} of prompt) {
+		const keptTokens = Math.min(tokens, parts.keptTokens(id, nowMs));
+		sentTokens += keptTokens;
+		if (keptTokens < tokens) {
+			break;
+		}
+	}
+
+	const lastTokens = server.id === last?.serverId ? last.contextTokens : 0;
+	return Math.max(sentTokens, Math.min(lastTokens, sumTokens(prompt)));
+};
+
+/** Handicap of a server that does not keep the first part of a prompt. */
+const estimateNewPartMs = (
+	{server}: ServerLoad,
+	[first]: readonly PromptPart[],
+	settings: BalancerSettings,
+): number => {
+	if (!first) {
+		return 0;
+	}
+
+	const order = hashText(`${first.id} ${server.id}`) / HASH_RANGE;
+	const {prefillTokensPerMs, newPartShare, orderShare} = settings;
+	const readMs = first.tokens / prefillTokensPerMs;
+	return readMs * (newPartShare + orderShare * order);
+};
+
+const estimatePromptCostMs = (
+	load: ServerLoad,
 	prompt: readonly PromptPart[],
-	last: LastTurn | undefined,
+	choice: ServerChoice,
+	settings: BalancerSettings,
+): number => {
+	const inFlight = load.inFlight + load.othersInFlight;
+	const keptTokens = countKeptTokens(load, prompt, choice);
+	const readMs = (sumTokens(prompt) - keptTokens) / settings.prefillTokensPerMs;
+	const heldUp = Math.min(inFlight, load.server.slots);
+	return (
+		readMs * (1 + settings.readingDelayShare * heldUp) +
+		inFlight * settings.streamDelayMs +
+		Math.max(0, inFlight + 1 - load.server.slots) * settings.streamQueueMs +
+		(keptTokens === 0 ? estimateNewPartMs(load, prompt, settings) : 0)
+	);
+};
+
+const estimatePlainCostMs = (
+	load: ServerLoad,
+	settings: BalancerSettings,
 ): number => {
-	const keptOf = ({id, tokens, isCommon}: PromptPart) =>
-		isCommon ? tokens : Math.min(tokens, keptTokens(id));
-	const lacking = prompt.findIndex((part) => keptOf(part) < part.tokens);
-	const missingTokens =
-		lacking === -1
-			? 0
-			: sumTokens(prompt.slice(lacking)) - keptOf(prompt[lacking]!);
-	return server.id === last?.serverId
-		? Math.min(
-				missingTokens,
-				Math.max(0, sumTokens(prompt) - last.contextTokens),
-			)
-		: missingTokens;
+	const inFlight = load.inFlight + load.othersInFlight;
+	return (
+		inFlight * settings.plainDelayMs +
+		Math.max(0, inFlight + 1 - load.server.slots) * settings.plainQueueMs
+	);
 };
 
 /**
@@ -92,22 +150,13 @@
  */
 export const estimateCostMs = (
 	load: ServerLoad,
-	{zone, prompt, last}: ServerChoice,
+	choice: ServerChoice,
 	settings: BalancerSettings,
-): number => {
-	const {slots} = load.server;
-	const inFlight = load.inFlight + load.othersInFlight;
-	const readMs = prompt
-		? countMissingTokens(load, prompt, last) / settings.prefillTokensPerMs
-		: 0;
-	const delayMs = prompt ? settings.streamDelayMs : settings.plainDelayMs;
-	return (
-		readMs * (1 + inFlight) +
-		inFlight * delayMs +
-		Math.max(0, inFlight + 1 - slots) * settings.queueDelayMs +
-		(load.server.zone === zone ? 0 : settings.otherZoneMs)
-	);
-};
+): number =>
+	(choice.prompt
+		? estimatePromptCostMs(load, choice.prompt, choice, settings)
+		: estimatePlainCostMs(load, settings)) +
+	(load.server.zone === choice.zone ? 0 : settings.otherZoneMs);
 
 /**
  * Chooses the server with the least cost.
@@ -116,7 +165,7 @@
  * @returns `undefined` when none is left.
  * @example
  * ```ts
- * const load = chooseServer(table.candidates('desk', nowMs), {zone: 'a', excludedIds: new Set(), random: Math.random});
+ * const load = chooseServer(table.candidates('desk', nowMs), {zone: 'a', excludedIds: new Set(), nowMs, random: Math.random});
  * ```
  */
 export const chooseServer = (
@@ -130,8 +179,10 @@
 			continue;
 		}
 
-		// The random part breaks ties, so that daemons with the same view spread their requests.
-		const costMs = estimateCostMs(load, choice, settings) + choice.random();
+		const noise = 1 + settings.noiseShare * (choice.random() - 0.5);
+		// The random millisecond breaks ties between idle servers.
+		const costMs =
+			estimateCostMs(load, choice, settings) * noise + choice.random();
 		if (!best || costMs < best.costMs) {
 			best = {load, costMs};
 		}
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -4,10 +4,16 @@
 	DEFAULT_BALANCER_SETTINGS,
 	estimateCostMs,
 	type LastTurn,
-	type PromptPart,
 	type ServerChoice,
 } from './choose-server.ts';
-export {PartPopularity} from './part-popularity.ts';
-export {RecentParts, type SentPart} from './recent-parts.ts';
-export {type ServerLoad, ServerTable} from './server-table.ts';
 export {type InFlightByServer, LoadLedger} from './load-ledger.ts';
+export {NewsLedger, type NewsPosition} from './news-ledger.ts';
+export {PartPopularity} from './part-popularity.ts';
+export {
+	Placement,
+	type PlacementNews,
+	type PlacementOptions,
+	type PlacementRequest,
+} from './placement.ts';
+export {type PromptPart, RecentParts} from './recent-parts.ts';
+export {type ServerLoad, ServerTable, type SharedPart} from './server-table.ts';
--- a/packages/balancer/src/part-popularity.ts
+++ b/packages/balancer/src/part-popularity.ts
@@ -1,5 +1,5 @@
 /** Programs that must have sent a part before it counts as common. */
-const COMMON_PROGRAMS = 3;
+const COMMON_PROGRAMS = 2;
 
 /** Parts that are remembered; the oldest ones are dropped first. */
 const MAX_PARTS = 4096;
@@ -7,14 +7,14 @@
 type Use = {lastProgramId: string; programs: number};
 
 /**
- * Tells parts that many programs share, such as a system prompt, from those of one program. Every busy
- * engine keeps a common part, whoever sent it there.
+ * Tells parts that many programs share, such as a system prompt, from those of one program. Only the
+ * former are worth telling other daemons about.
  *
  * @example
  * ```ts
  * const popularity = new PartPopularity();
  * popularity.note('program-1', ['5c1e', '91bd']);
- * popularity.isCommon('5c1e'); // false until three programs have sent it
+ * popularity.isCommon('5c1e'); // false until two programs have sent it
  * ```
  */
 export class PartPopularity {
--- /dev/null
+++ b/packages/balancer/src/placement.test.ts
@@ -0,0 +1,84 @@
+import {asId, type UpstreamId} from '@marjoramcove/types';
+import {describe, expect, it} from 'vitest';
+import {Placement, type PlacementRequest} from './placement.ts';
+
+const serverId = asId<UpstreamId>('s1');
+
+const createPlacement = (count = 1) => {
+	const placement = new Placement({zone: 'a', random: () => 0.5});
+	placement.replaceServers(
+		Array.from({length: count}, (_, index) => ({
+			id: asId<UpstreamId>(`s${index + 1}`),
+			service: 'models',
+			address: '10.0.0.1:80',
+			zone: 'a',
+			slots: 8,
+			isLeaving: false,
+		})),
+	);
+	return placement;
+};
+
+const createRequest = (programId: string): PlacementRequest => ({
+	service: 'models',
+	programId,
+	prompt: [
+		{id: 'system', tokens: 9000},
+		{id: `own-${programId}`, tokens: 100},
+	],
+	excludedIds: new Set(),
+});
+
+describe('Placement', () => {
+	const send = (placement: Placement, programId: string, nowMs: number) => {
+		const request = createRequest(programId);
+		const load = placement.choose(request, nowMs)!;
+		placement.noteSent(load, request, nowMs);
+		return load;
+	};
+
+	it('counts a request until it is over', () => {
+		const placement = createPlacement();
+		const load = send(placement, 'p1', 0);
+		expect(placement.takeNews().inFlight).toEqual({s1: 1});
+		placement.noteEnd(load);
+		expect(placement.takeNews().inFlight).toEqual({});
+	});
+
+	describe('news', () => {
+		it('name parts that several programs share, once, and no others', () => {
+			const placement = createPlacement();
+			send(placement, 'p1', 0);
+			expect(placement.takeNews().shared).toEqual([]);
+			send(placement, 'p2', 5000);
+			expect(placement.takeNews().shared).toEqual([
+				{serverId, id: 'system', tokens: 9000},
+			]);
+			send(placement, 'p3', 5100);
+			expect(placement.takeNews().shared).toEqual([]);
+		});
+
+		it('are repeated before the others forget them, unless somebody else has just told', () => {
+			const placement = createPlacement();
+			send(placement, 'p1', 0);
+			send(placement, 'p2', 2000);
+			placement.takeNews();
+			send(placement, 'p3', 4000);
+			expect(placement.takeNews().shared).toHaveLength(1);
+			const shared = [{serverId, id: 'system', tokens: 9000}];
+			placement.noteNews({inFlight: {}, shared}, 5900);
+			send(placement, 'p4', 6000);
+			expect(placement.takeNews().shared).toEqual([]);
+		});
+
+		it('lead a request of another program to the server that keeps its shared part', () => {
+			for (let index = 1; index <= 4; index++) {
+				const placement = createPlacement(4);
+				const id = asId<UpstreamId>(`s${index}`);
+				const shared = [{serverId: id, id: 'system', tokens: 9000}];
+				placement.noteNews({inFlight: {}, shared}, 0);
+				expect(placement.choose(createRequest('p9'), 10)?.server.id).toBe(id);
+			}
+		});
+	});
+});
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,6 +1,6 @@
 import type {ListedServer} from '@marjoramcove/inventory';
 import type {UpstreamId} from '@marjoramcove/types';
-import {RecentParts, type SentPart} from './recent-parts.ts';
+import {type PromptPart, RecentParts} from './recent-parts.ts';
 
 /** A server and what this daemon knows of its load. */
 export type ServerLoad = {
@@ -13,26 +13,21 @@
 	avoidUntilMs: number;
 	/** It said itself that it is leaving; the list may not show it yet. */
 	isClosing: boolean;
-	/** Tokens of a part that this daemon has sent to it lately. */
-	keptTokens: (id: string) => number;
-	/** Remembers the parts of a prompt that was sent to it. */
-	noteParts: (parts: readonly SentPart[]) => void;
+	/** What it keeps of prompts, as far as this daemon was told or sent them itself. */
+	parts: RecentParts;
 };
 
-const createLoad = (server: ListedServer): ServerLoad => {
-	const parts = new RecentParts();
-	return {
-		server,
-		inFlight: 0,
-		othersInFlight: 0,
-		avoidUntilMs: 0,
-		isClosing: false,
-		keptTokens: (id) => parts.keptTokens(id),
-		noteParts(sent) {
-			parts.note(sent);
-		},
-	};
-};
+const createLoad = (server: ListedServer): ServerLoad => ({
+	server,
+	inFlight: 0,
+	othersInFlight: 0,
+	avoidUntilMs: 0,
+	isClosing: false,
+	parts: new RecentParts(),
+});
+
+/** A part that many programs share, and a server that was sent it. */
+export type SharedPart = PromptPart & {serverId: UpstreamId};
 
 /**
  * The servers of the list with their load.
@@ -71,6 +66,13 @@
 		}
 	}
 
+	/** Takes the shared parts that other daemons have sent. */
+	noteShared(parts: readonly SharedPart[], nowMs: number): void {
+		for (const {serverId, ...part} of parts) {
+			this.#loads.get(serverId)?.parts.note(part, nowMs);
+		}
+	}
+
 	/** Requests of this daemon that are under way, by server; servers without any are left out. */
 	describeInFlight(): Record<string, number> {
 		const busy = [...this.#loads].filter(([, {inFlight}]) => inFlight > 0);
--- a/packages/gateway/src/choose-shard.ts
+++ b/packages/gateway/src/choose-shard.ts
@@ -1,15 +1,4 @@
-import type {GroupId, ProgramId} from '@marjoramcove/types';
-
-/** FNV-1a of the id; all daemons must compute the same value. */
-const hashId = (id: string): number => {
-	let hash = 0x81_1c_9d_c5;
-	for (let index = 0; index < id.length; index++) {
-		// eslint-disable-next-line no-bitwise
-		hash = Math.imul(hash ^ id.codePointAt(index)!, 0x01_00_01_93) >>> 0;
-	}
-
-	return hash;
-};
+import {type GroupId, hashText, type ProgramId} from '@marjoramcove/types';
 
 /**
  * Chooses the shard of a program. The number of shards never changes once they are placed.
@@ -22,4 +11,4 @@
 export const chooseShard = (
 	programId: ProgramId,
 	groupIds: readonly GroupId[],
-): GroupId => groupIds[hashId(programId) % groupIds.length]!;
+): GroupId => groupIds[hashText(programId) % groupIds.length]!;
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -1,4 +1,6 @@
+import type {NewsPosition, PlacementNews} from '@marjoramcove/balancer';
 import type {FleetMember} from '@marjoramcove/fleet';
+import type {UpstreamId} from '@marjoramcove/types';
 import {z} from 'zod';
 import type {FleetTopics} from './fleet-view.ts';
 
@@ -84,13 +86,22 @@
 	/** The leader of the group is certain that the group does not have it. */
 	| {status: 'not-in-group'};
 
-/** Requests under way by server, of the daemons that the sender speaks for. */
-export const loadsInput = z.object({
+const sharedPart = z.object({
+	serverId: z.custom<UpstreamId>((value) => typeof value === 'string'),
+	id: z.string(),
+	tokens: z.number(),
+});
+
+/** What the daemons that the sender speaks for have under way, and which shared parts they sent. */
+export const newsInput = z.object({
 	from: z.string(),
 	inFlight: z.record(z.string(), z.number()),
+	shared: z.array(sharedPart),
+	/** How far the sender has read the news of this relay. */
+	position: z.object({ledgerId: z.string(), sequence: z.number()}).optional(),
 });
 
-/** Requests under way by server, of all other daemons. */
-export type LoadsOutput = {inFlight: Record<string, number>};
+/** News of all other daemons. */
+export type NewsOutput = PlacementNews & {position: NewsPosition};
 
 export const deliverInput = z.object({from: z.string(), batch: bytes});
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -1,16 +1,12 @@
 import {
-	chooseServer,
-	type InFlightByServer,
-	PartPopularity,
-	type PromptPart,
+	Placement,
+	type PlacementRequest,
 	type ServerLoad,
-	ServerTable,
 } from '@marjoramcove/balancer';
 import {
 	type AnswerHead,
 	type AnswerStart,
 	findHeader,
-	type RequestHead,
 	UpstreamClient,
 	type UpstreamExchange,
 	type UpstreamFailure,
@@ -37,38 +33,42 @@
 	onFailure: (failure: UpstreamFailure) => void;
 };
 
+const NONE_EXCLUDED: ReadonlySet<UpstreamId> = new Set();
+
+const describePlacement = (
+	{route, head, service, last}: RequestContext,
+	excludedIds: ReadonlySet<UpstreamId>,
+): PlacementRequest => ({
+	service,
+	prompt: route.hasPrompt ? (head.promptParts ?? []) : undefined,
+	programId: head.programId ?? head.requestId ?? '',
+	last,
+	excludedIds,
+});
+
 const serverKey = ({server}: ServerLoad): string =>
 	`${server.id} ${server.address} ${server.bornAtMs ?? ''}`;
 
 /** Chooses servers, sends attempts to them, and remembers what became of them. */
 export class Upstreams {
+	/** What this daemon knows of the load of servers and of what they keep. */
+	readonly placement: Placement;
 	readonly #context: GatewayContext;
-	readonly #table = new ServerTable();
 	readonly #client = new UpstreamClient();
-	readonly #popularity = new PartPopularity();
 
 	constructor(context: GatewayContext) {
 		this.#context = context;
+		this.placement = new Placement({zone: context.settings.zone});
 	}
 
 	/** Takes the servers of the view. */
 	update(): void {
-		this.#table.replace(this.#context.view.servers);
+		this.placement.replaceServers(this.#context.view.servers);
 		this.#client.retain(
-			new Set(this.#table.all().map((load) => serverKey(load))),
+			new Set(this.placement.servers.map((load) => serverKey(load))),
 		);
 	}
 
-	/** Requests of this daemon that are under way, by server. */
-	describeInFlight(): Record<string, number> {
-		return this.#table.describeInFlight();
-	}
-
-	/** Takes the requests that other daemons have under way. */
-	noteOthers(inFlight: InFlightByServer): void {
-		this.#table.noteOthers(inFlight);
-	}
-
 	async close(): Promise<void> {
 		await this.#client.close();
 	}
@@ -78,14 +78,8 @@
 		request: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
 	): ServerLoad | undefined {
-		const {route, head, service, last} = request;
-		return chooseServer(this.#table.candidates(service, performance.now()), {
-			zone: this.#context.settings.zone,
-			prompt: route.hasPrompt ? this.#describePrompt(head) : undefined,
-			last,
-			excludedIds,
-			random: Math.random,
-		});
+		const placed = describePlacement(request, excludedIds);
+		return this.placement.choose(placed, performance.now());
 	}
 
 	/** Sends the request to a server, once. */
@@ -103,18 +97,18 @@
 			1,
 			this.#context.view.membersOf('entry').length,
 		);
-		let isCounted = true;
+		let isOver = false;
 		const release = () => {
-			load.inFlight -= isCounted ? 1 : 0;
-			isCounted = false;
+			if (!isOver) {
+				isOver = true;
+				this.placement.noteEnd(load);
+			}
 		};
 
-		load.inFlight++;
-		const parts = request.head.promptParts ?? [];
-		load.noteParts(parts);
-		this.#popularity.note(
-			request.head.programId ?? request.head.requestId ?? '',
-			parts.map(({id}) => id),
+		this.placement.noteSent(
+			load,
+			describePlacement(request, NONE_EXCLUDED),
+			performance.now(),
 		);
 		const sent = this.#client.send(
 			{
@@ -168,14 +162,6 @@
 		};
 	}
 
-	#describePrompt({promptParts = []}: RequestHead): PromptPart[] {
-		return promptParts.map(({id, tokens}) => ({
-			id,
-			tokens,
-			isCommon: this.#popularity.isCommon(id),
-		}));
-	}
-
 	#noteAnswer(load: ServerLoad, answer: AnswerStart, head: AnswerHead): void {
 		if (head.isNotRun) {
 			load.avoidUntilMs =
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -19,9 +19,9 @@
 } from './services/http-service.ts';
 import {InventoryService} from './services/inventory-service.ts';
 import {
-	LoadExchangeService,
-	LoadRelayService,
-} from './services/loads-service.ts';
+	NewsExchangeService,
+	NewsRelayService,
+} from './services/news-service.ts';
 import {PeerListenerService, PeersService} from './services/peers-service.ts';
 import {RepairService} from './services/repair-service.ts';
 import {
@@ -50,7 +50,7 @@
 		new RepairService(context, control),
 		new ShardPlannerService(context),
 		new InventoryService(context),
-		new LoadRelayService(context),
+		new NewsRelayService(context),
 		new PeerListenerService(context, peers),
 		...(controlAddress === undefined
 			? []
@@ -79,7 +79,7 @@
 	return [
 		new TurnsService(context),
 		entry,
-		new LoadExchangeService(context, entry.upstreams),
+		new NewsExchangeService(context, entry.upstreams.placement),
 		...(ready === undefined
 			? []
 			: [
--- /dev/null
+++ b/packages/measure/src/sites/site-policies.ts
@@ -0,0 +1,189 @@
+import {
+	type BalancerSettings,
+	LoadLedger,
+	NewsLedger,
+	type NewsPosition,
+	Placement,
+	type PlacementRequest,
+} from '@marjoramcove/balancer';
+import {asId, type UpstreamId} from '@marjoramcove/types';
+import {SitePolicy, type SiteRequest} from './site-policy.ts';
+import type {SiteScenario} from './site-scenarios.ts';
+
+const SERVICE = 'models';
+
+const idOf = (engine: number): UpstreamId => asId<UpstreamId>(String(engine));
+
+const listServers = ({engines, zones, model}: SiteScenario) =>
+	Array.from({length: engines}, (_, engine) => ({
+		id: idOf(engine),
+		service: SERVICE,
+		address: `10.0.0.1:${engine}`,
+		zone: String(engine % zones),
+		slots: model.slots,
+		isLeaving: false,
+	}));
+
+type EntryState = {
+	placement: Placement;
+	zone: number;
+	position: NewsPosition | undefined;
+};
+
+/** The relay of a zone: what its entry daemons told, and what it last heard of the other relays. */
+type RelayState = {loads: LoadLedger; others: LoadLedger; news: NewsLedger};
+
+/** The balancer of entry daemons that exchange their news through a relay in each zone. */
+export class MarjoramcoveSitePolicy extends SitePolicy {
+	override readonly name = 'marjoramcove';
+	readonly #entries: EntryState[];
+	readonly #relays: RelayState[];
+
+	constructor(
+		scenario: SiteScenario,
+		random: () => number,
+		settings?: BalancerSettings,
+	) {
+		super();
+		this.#relays = Array.from({length: scenario.zones}, (_, zone) => ({
+			loads: new LoadLedger(),
+			others: new LoadLedger(),
+			news: new NewsLedger(String(zone)),
+		}));
+		this.#entries = Array.from({length: scenario.entries}, (_, entry) => {
+			const zone = entry % scenario.zones;
+			const placement = new Placement({zone: String(zone), random, settings});
+			placement.replaceServers(listServers(scenario));
+			return {placement, zone, position: undefined};
+		});
+	}
+
+	override choose(entry: number, request: SiteRequest, nowMs: number): number {
+		const {placement} = this.#entries[entry]!;
+		const {parts, programId, last} = request;
+		const placed: PlacementRequest = {
+			service: SERVICE,
+			prompt: parts,
+			programId,
+			last: last && {
+				serverId: idOf(last.engine),
+				contextTokens: last.contextTokens,
+			},
+			excludedIds: new Set(),
+		};
+		const load = placement.choose(placed, nowMs)!;
+		placement.noteSent(load, placed, nowMs);
+		return Number(load.server.id);
+	}
+
+	override noteDone(entry: number, engine: number): void {
+		const {placement} = this.#entries[entry]!;
+		placement.noteEnd(placement.servers[engine]!);
+	}
+
+	override exchange(entry: number, nowMs: number): void {
+		const state = this.#entries[entry]!;
+		const relay = this.#relays[state.zone]!;
+		const told = state.placement.takeNews();
+		relay.loads.note(String(entry), told.inFlight, nowMs);
+		for (const {news} of this.#relays) {
+			news.note(String(entry), told.shared, nowMs);
+		}
+
+		const {shared, position} = relay.news.read(
+			String(entry),
+			state.position,
+			nowMs,
+		);
+		state.position = position;
+		const inFlight = relay.loads.sumOfOthers(String(entry), nowMs);
+		const elsewhere = relay.others.sumOfOthers('', nowMs);
+		for (const [id, count] of Object.entries(elsewhere)) {
+			inFlight[id] = (inFlight[id] ?? 0) + count;
+		}
+
+		state.placement.noteNews({inFlight, shared}, nowMs);
+	}
+
+	override share(nowMs: number): void {
+		for (const [zone, from] of this.#relays.entries()) {
+			const inFlight = from.loads.sumOfOthers('', nowMs);
+			for (const to of this.#relays) {
+				if (to !== from) {
+					to.others.note(String(zone), inFlight, nowMs);
+				}
+			}
+		}
+	}
+}
+
+/** Sends each turn to the next engine. */
+export class RoundRobinSitePolicy extends SitePolicy {
+	override readonly name = 'round-robin';
+	readonly #engines: number;
+
+	constructor({engines}: SiteScenario) {
+		super();
+		this.#engines = engines;
+	}
+
+	override choose(_entry: number, {number}: SiteRequest): number {
+		return number % this.#engines;
+	}
+
+	override noteDone(): void {
+		// It goes by nothing.
+	}
+
+	override exchange(): void {
+		// It tells nothing.
+	}
+
+	override share(): void {
+		// It tells nothing.
+	}
+}
+
+/** Sends each turn to the engine with the fewest turns under way; it knows all of them at once. */
+export class LeastInFlightSitePolicy extends SitePolicy {
+	override readonly name: string = 'least-in-flight';
+	protected readonly loads: number[];
+
+	constructor({engines}: SiteScenario) {
+		super();
+		this.loads = Array.from({length: engines}, () => 0);
+	}
+
+	override choose(_entry: number, _request: SiteRequest): number {
+		const engine = this.loads.indexOf(Math.min(...this.loads));
+		this.loads[engine]!++;
+		return engine;
+	}
+
+	override noteDone(_entry: number, engine: number): void {
+		this.loads[engine]!--;
+	}
+
+	override exchange(): void {
+		// It knows everything already.
+	}
+
+	override share(): void {
+		// It knows everything already.
+	}
+}
+
+/** Sends a program's first turn to the engine with the fewest turns, and the others to the same engine. */
+export class SessionStickySitePolicy extends LeastInFlightSitePolicy {
+	override readonly name = 'session-sticky';
+
+	override choose(entry: number, request: SiteRequest): number {
+		const {last} = request;
+		if (!last) {
+			return super.choose(entry, request);
+		}
+
+		this.loads[last.engine]!++;
+		return last.engine;
+	}
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -14,3 +14,4 @@
 	type ZoneName,
 } from './ids.ts';
 export type {Verdict} from './verdict.ts';
+export {hashText} from './hash-text.ts';
