--- a/packages/measure/src/bin.ts
+++ b/packages/measure/src/bin.ts
@@ -12,6 +12,7 @@
 import {runScenario} from './run-scenario.ts';
 import {runTarget, TARGET_COLUMNS} from './run-target.ts';
 import {BARAMYEON, PIATOTHIKI, type Scenario} from './scenarios.ts';
+import {runSites, SITE_COLUMNS} from './sites/run-sites.ts';
 
 const KEY_COLUMNS = ['scenario', 'load', 'policy'];
 const COLUMNS = [
@@ -95,6 +96,10 @@
 		case 'control': {
 			return runControl(options.seed);
 		}
+
+		case 'sites': {
+			return runSites(options);
+		}
 	}
 };
 
@@ -103,6 +108,7 @@
 	target: TARGET_COLUMNS,
 	failures: FAILURE_COLUMNS,
 	control: CONTROL_COLUMNS,
+	sites: SITE_COLUMNS,
 };
 
 const readColumns = (name: ScenarioName): string[] =>
--- a/packages/measure/src/read-arguments.ts
+++ b/packages/measure/src/read-arguments.ts
@@ -8,6 +8,7 @@
 	'failures',
 	'target',
 	'control',
+	'sites',
 ] as const;
 
 export type ScenarioName = (typeof SCENARIOS)[number];
--- /dev/null
+++ b/packages/measure/src/sites/run-site.test.ts
@@ -0,0 +1,38 @@
+import {beforeAll, describe, expect, it} from 'vitest';
+import type {Row} from '../row.ts';
+import {runSites} from './run-sites.ts';
+import {SITE_SCENARIOS} from './site-scenarios.ts';
+
+/** The worth that the users ask for on their grown sites. */
+const TARGET_WORTH = 0.9;
+
+/** A run takes some seconds. */
+const RUN_TIMEOUT_MS = 120_000;
+
+describe('runSites', () => {
+	describe('a day of high load, as each sheet describes it', () => {
+		const sites = SITE_SCENARIOS.map(({name}) => name);
+		let rows: Row[] = [];
+		const worthOf = (site: string, name: string) =>
+			Number(
+				rows.find(({scenario, policy}) => scenario === site && policy === name)
+					?.worth,
+			);
+
+		beforeAll(() => {
+			rows = runSites({seed: 1, policies: ['marjoramcove', 'round-robin']});
+		}, RUN_TIMEOUT_MS);
+
+		it.each(sites)('%s earns the worth that its users ask for', (site) => {
+			expect(worthOf(site, 'marjoramcove')).toBeGreaterThanOrEqual(
+				TARGET_WORTH,
+			);
+		});
+
+		it.each(sites)('%s earns more than with turns in rotation', (site) => {
+			expect(worthOf(site, 'marjoramcove')).toBeGreaterThan(
+				worthOf(site, 'round-robin'),
+			);
+		});
+	});
+});
--- a/packages/measure/src/sites/run-site.ts
+++ b/packages/measure/src/sites/run-site.ts
@@ -25,7 +25,7 @@
 	/** Prompt tokens that were read, in millions. */
 	readMillionTokens: number;
 	/** Mean time of a turn over its time on an idle engine. */
-	slowdown: number;
+	turnSlowdown: number;
 	turns: number;
 };
 
@@ -84,13 +84,21 @@
 			programs: programs.length,
 			worth: this.#earned / this.#owed,
 			inAimShare: this.#inAim / programs.length,
-			readMillionTokens:
-				this.#engines.reduce((sum, {readTokens}) => sum + readTokens, 0) / 1e6,
-			slowdown: this.#slowdown / this.#turns,
+			readMillionTokens: this.#sumReadTokens() / 1_000_000,
+			turnSlowdown: this.#slowdown / this.#turns,
 			turns: this.#turns,
 		};
 	}
 
+	#sumReadTokens(): number {
+		let sumTokens = 0;
+		for (const {readTokens} of this.#engines) {
+			sumTokens += readTokens;
+		}
+
+		return sumTokens;
+	}
+
 	#scheduleExchange(entry: number, delayMs: number): void {
 		this.#clock.after(delayMs, () => {
 			this.#policy.exchange(entry, this.#clock.nowMs);
@@ -137,14 +145,14 @@
 
 	/** Time of turns on idle engines that keep everything before their new input. */
 	#idleMs(turns: readonly SiteTurn[], wayMs: number): number {
-		return turns.reduce((sumMs, turn, index) => {
-			const subMs = Math.max(
-				0,
-				...turn.subAgents.map((sub) => this.#idleMs(sub, wayMs)),
-			);
+		let idleMs = 0;
+		for (const [index, turn] of turns.entries()) {
+			const subMs = turn.subAgents.map((sub) => this.#idleMs(sub, wayMs));
 			const pauseMs = index === turns.length - 1 ? 0 : turn.pauseMs;
-			return sumMs + wayMs + this.#turnMs(turn) + subMs + pauseMs;
-		}, 0);
+			idleMs += wayMs + this.#turnMs(turn) + Math.max(0, ...subMs) + pauseMs;
+		}
+
+		return idleMs;
 	}
 
 	#turnMs({inputTokens, outputTokens}: SiteTurn): number {
@@ -181,8 +189,8 @@
 	}
 
 	#runSubAgents(line: Line, {subAgents}: SiteTurn, onEnd: () => void): void {
-		let left = subAgents.length;
-		if (left === 0) {
+		const running = new Set(subAgents);
+		if (running.size === 0) {
 			onEnd();
 			return;
 		}
@@ -199,8 +207,8 @@
 				partTokens: 0,
 			};
 			this.#runTurns(sub, turns, 0, () => {
-				left--;
-				if (left === 0) {
+				running.delete(turns);
+				if (running.size === 0) {
 					onEnd();
 				}
 			});
--- a/packages/measure/src/sites/site-workload.ts
+++ b/packages/measure/src/sites/site-workload.ts
@@ -81,6 +81,13 @@
 	return weights.map((weight) => weight / sum);
 };
 
+const readBurstFactor = (
+	bursts: SiteTraffic['bursts'],
+	nowMs: number,
+): number =>
+	bursts.find(({fromMs, forMs}) => nowMs >= fromMs && nowMs < fromMs + forMs)
+		?.factor ?? 1;
+
 class ProgramDraws {
 	readonly #traffic: SiteTraffic;
 	readonly #draws: RandomDraws;
@@ -96,10 +103,7 @@
 		const {programsPerS, durationMs, bursts} = this.#traffic;
 		let atMs = 0;
 		for (;;) {
-			const burst = bursts.find(
-				({fromMs, forMs}) => atMs >= fromMs && atMs < fromMs + forMs,
-			);
-			const rate = (programsPerS * (burst?.factor ?? 1)) / 1000;
+			const rate = (programsPerS * readBurstFactor(bursts, atMs)) / 1000;
 			atMs += this.#draws.exponential(1 / rate);
 			if (atMs >= durationMs) {
 				return programs;
