--- a/packages/configuration/src/allowed-keys.ts
+++ b/packages/configuration/src/allowed-keys.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {resourceSchema} from './schemas.ts';
 
 /** Schema under wrappers, and the member of a union that the value selects. */
--- a/packages/configuration/src/schemas.ts
+++ b/packages/configuration/src/schemas.ts
@@ -1,5 +1,5 @@
 import type {UpstreamId, ZoneName} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Resource} from './resources.ts';
 
 /** Names and labels become parts of ids, headers and metrics, so their characters are limited. */
--- a/packages/daemon/src/call-contracts.ts
+++ b/packages/daemon/src/call-contracts.ts
@@ -13,7 +13,7 @@
 	UpstreamId,
 	ZoneName,
 } from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What a call addresses. */
 export const targetSchema = z.union([
--- a/packages/daemon/src/dispatcher/copy-keeper.ts
+++ b/packages/daemon/src/dispatcher/copy-keeper.ts
@@ -1,6 +1,6 @@
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import type {UpstreamId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {programIdSchema} from '../call-contracts.ts';
 import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {MarjoramcoveError, ValidationError} from '@marjoramcove/errors';
 import type {ProgramId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type AcceptInput,
 	acceptSchema,
--- a/packages/daemon/src/entry/http-answers.test.ts
+++ b/packages/daemon/src/entry/http-answers.test.ts
@@ -1,7 +1,7 @@
 import {Readable} from 'node:stream';
 import type {IncomingMessage} from 'node:http';
 import {describe, expect, it} from 'vitest';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type HttpRequest,
 	parseBody,
--- a/packages/daemon/src/entry/operator-routes.ts
+++ b/packages/daemon/src/entry/operator-routes.ts
@@ -14,7 +14,7 @@
 	type GroupId,
 	type OperationId,
 } from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {messageOf} from '../daemon-context.ts';
 import {configGroup, shardGroup} from '../services/replication-service.ts';
 import type {EntryCore} from './entry-core.ts';
--- a/packages/daemon/src/entry/program-routes.ts
+++ b/packages/daemon/src/entry/program-routes.ts
@@ -1,7 +1,7 @@
 import type {HistoryText, ProgramDescription} from '@marjoramcove/programs';
 import {chooseAddresses, type Member} from '@marjoramcove/membership';
 import {asId, type ZoneName} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CallState} from '../call-contracts.ts';
 import type {EntryCore} from './entry-core.ts';
 import {type Handler, headerOf, parseBody, sendJson} from './http-answers.ts';
--- a/packages/daemon/src/owner/program-registry.ts
+++ b/packages/daemon/src/owner/program-registry.ts
@@ -5,7 +5,7 @@
 	type ProgramDescription,
 } from '@marjoramcove/programs';
 import type {CallerId, ProgramId, RequestId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {programIdSchema} from '../call-contracts.ts';
 import {refusal} from '../daemon-context.ts';
 import type {CallAccepter} from './call-accepter.ts';
--- a/packages/daemon/src/services/configuration-leader-service.ts
+++ b/packages/daemon/src/services/configuration-leader-service.ts
@@ -31,7 +31,7 @@
 	takeSummary,
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DaemonContext, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -16,7 +16,7 @@
 } from '@marjoramcove/membership';
 import {backoffDelay} from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {attemptTimeoutOf, type HeartbeatAnswer} from './heartbeat-contract.ts';
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -3,7 +3,7 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {QueuedCall} from '@marjoramcove/scheduler';
 import type {UpstreamId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	assumedCompletionTokens,
 	attemptKey,
--- a/packages/daemon/src/services/heartbeat-contract.ts
+++ b/packages/daemon/src/services/heartbeat-contract.ts
@@ -5,7 +5,7 @@
 	RosterSummary,
 } from '@marjoramcove/membership';
 import type {DaemonId, IncarnationId, UpstreamId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {UpstreamNotice} from './upstreams-service.ts';
 
 const noticeSchema = z.object({
--- a/packages/daemon/src/services/owner-service.ts
+++ b/packages/daemon/src/services/owner-service.ts
@@ -7,7 +7,7 @@
 	type ProgramResult,
 } from '@marjoramcove/programs';
 import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type AcceptInput,
 	acceptSchema,
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -18,7 +18,7 @@
 	updateRelay,
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import {
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -9,7 +9,7 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {ProgramCommand} from '@marjoramcove/programs';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -1,7 +1,7 @@
 import type {NewsPosition, PlacementNews} from '@marjoramcove/balancer';
 import type {FleetMember} from '@marjoramcove/fleet';
 import type {UpstreamId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {FleetTopics} from './fleet-view.ts';
 
 const stamp = z.object({term: z.number(), sequence: z.number()});
--- a/packages/gateway/src/services/control-service.ts
+++ b/packages/gateway/src/services/control-service.ts
@@ -17,7 +17,7 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {checkDocument} from '@marjoramcove/routes';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {deliverInput, memberInput, putDocumentInput} from '../contracts.ts';
 import type {OperatorApi} from '../gateway-adapter.ts';
 import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
--- a/packages/metrics/src/metrics-registry.ts
+++ b/packages/metrics/src/metrics-registry.ts
@@ -1,4 +1,4 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+import {type Histogram, Int32Histogram} from 'hdr-histogram-js';
 
 /** Label values of one series, for example `{reason: 'token-budget'}`. */
 export type LabelValues = Record<string, string>;
@@ -141,14 +141,9 @@
 ) => {
 	let entry = series.get(key);
 	if (!entry) {
-		const histogram = build({
-			bitBucketSize: 32,
-			autoResize: true,
-			lowestDiscernibleValue: 1,
-			highestTrackableValue: 2,
-			numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-			useWebAssembly: false,
-		});
+		// It starts with the smallest range and grows with the values.
+		const histogram = new Int32Histogram(1, 2, SIGNIFICANT_DIGITS);
+		histogram.autoResize = true;
 		entry = {histogram, sumMs: 0};
 		series.set(key, entry);
 	}
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -6,7 +6,7 @@
 	LEAVING_BOUND_MS,
 	type ZoneName,
 } from '@marjoramcove/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const daemonIdSchema = z
 	.string()
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,4 +1,4 @@
-export {checksum64} from './checksum.ts';
+export {checksum64, loadChecksum} from './checksum.ts';
 export {openDiskId} from './disk-id.ts';
 export {FileSystem, isDiskFull, OpenFile} from './file-system.ts';
 export type {LogRecord} from './frame.ts';
--- a/packages/storage/src/snapshot-store.ts
+++ b/packages/storage/src/snapshot-store.ts
@@ -1,7 +1,7 @@
 import path from 'node:path';
 import {DataCorruptionError} from '@marjoramcove/errors';
 import type {GroupId} from '@marjoramcove/types';
-import {checksum64} from './checksum.ts';
+import {checksum64, loadChecksum} from './checksum.ts';
 import type {FileSystem} from './file-system.ts';
 import {writeFileDurably} from './write-file-durably.ts';
 
@@ -28,6 +28,7 @@
 		fileSystem: FileSystem,
 		folder: string,
 	): Promise<SnapshotStore<Meta>> {
+		await loadChecksum();
 		await fileSystem.makeFolder(folder);
 		for (const name of await fileSystem.list(folder)) {
 			if (name.endsWith('.tmp')) {
--- a/packages/storage/src/write-ahead-log.ts
+++ b/packages/storage/src/write-ahead-log.ts
@@ -1,5 +1,6 @@
 import path from 'node:path';
 import {DataCorruptionError, MarjoramcoveError} from '@marjoramcove/errors';
+import {loadChecksum} from './checksum.ts';
 import {type FileSystem, isDiskFull, type OpenFile} from './file-system.ts';
 import {encodeFrames, type LogRecord, MAX_FRAME_BODY_BYTES} from './frame.ts';
 import {recoverSegment} from './recover-segment.ts';
@@ -58,6 +59,7 @@
 		folder: string,
 		options: WriteAheadLogOptions = {},
 	): Promise<WriteAheadLog> {
+		await loadChecksum();
 		await fileSystem.makeFolder(folder);
 		const segments: number[] = [];
 		for (const name of await fileSystem.list(folder)) {
--- a/packages/transport/src/damaged-frames.test.ts
+++ b/packages/transport/src/damaged-frames.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {WebSocket, WebSocketServer} from 'ws';
-import {z} from 'zod';
+import * as z from 'zod';
 import {decodeFrame, encodeMessage, joinFrame} from './frame-codec.ts';
 import {PeerClient} from './peer-client.ts';
 import {createPeerRouter} from './peer-router.ts';
--- a/packages/transport/src/measure-calls.ts
+++ b/packages/transport/src/measure-calls.ts
@@ -1,6 +1,6 @@
 // Measures calls per second and processor time per call over one link, client and server in one
 // process, so the processor time covers both ends.
-import {z} from 'zod';
+import * as z from 'zod';
 import {PeerClient} from './peer-client.ts';
 import {createPeerRouter} from './peer-router.ts';
 import {PeerServer} from './peer-server.ts';
--- a/packages/transport/src/peer-client.test.ts
+++ b/packages/transport/src/peer-client.test.ts
@@ -7,7 +7,7 @@
 } from 'node:net';
 import {RefusedError} from '@marjoramcove/errors';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {z} from 'zod';
+import * as z from 'zod';
 import {PeerClient, type PeerClientEvent} from './peer-client.ts';
 import {createPeerRouter} from './peer-router.ts';
 import {PeerServer} from './peer-server.ts';
