Avoid servers that keep silent, answer with errors or are slow

Ruled out: the shards (8 ms to prepare a turn) and the engines that were well (12 ms to the first piece throughout).

ServerHealth watches the answers of each server: a first piece that takes five times as long as usual on its route makes it silent while the request waits, failures that follow each other double the time, a third of errors among the answers counts as a failure, and streams that pause longer than those of others add to the cost of the server.

--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -167,7 +167,7 @@
 /**
  * Estimates what sending the request to a server costs callers, in milliseconds: the reading of what it
  * does not keep, which holds up every stream that it runs, the delay among these, the wait for a slot,
- * the way.
+ * its slowness, the way.
  *
  * @param prompt - the prompt of the choice, measured once for all servers.
  * @example
@@ -184,6 +184,7 @@
 	(prompt
 		? estimatePromptCostMs(load, prompt, choice, settings)
 		: estimatePlainCostMs(load, settings)) +
+	load.health.slowdownMs(choice.nowMs) +
 	(load.server.zone === choice.zone ? 0 : settings.otherZoneMs);
 
 /**
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -16,4 +16,12 @@
 	type PlacementRequest,
 } from './placement.ts';
 export {type PromptPart, RecentParts} from './recent-parts.ts';
+export {
+	type AttemptEnd,
+	type AttemptKeys,
+	ServerHealth,
+	type UsualTimes,
+	type WatchedAttempt,
+} from './server-health.ts';
 export {type ServerLoad, ServerTable, type SharedPart} from './server-table.ts';
+export {TypicalTimes} from './typical-times.ts';
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,6 +1,8 @@
 import type {ListedServer} from '@marjoramcove/inventory';
 import {hashText, type UpstreamId} from '@marjoramcove/types';
 import {type PromptPart, RecentParts} from './recent-parts.ts';
+import {ServerHealth, type UsualTimes} from './server-health.ts';
+import {TypicalTimes} from './typical-times.ts';
 
 /** A server and what this daemon knows of its load. */
 export type ServerLoad = {
@@ -11,15 +13,17 @@
 	inFlight: number;
 	/** Requests of other daemons, as they last told. */
 	othersInFlight: number;
-	/** It is avoided until this time of the monotonic clock. */
+	/** It said itself that it takes nothing until this time of the monotonic clock. */
 	avoidUntilMs: number;
 	/** It said itself that it is leaving; the list may not show it yet. */
 	isClosing: boolean;
 	/** What it keeps of prompts, as far as this daemon was told or sent them itself. */
 	parts: RecentParts;
+	/** How it answered this daemon. */
+	health: ServerHealth;
 };
 
-const createLoad = (server: ListedServer): ServerLoad => ({
+const createLoad = (server: ListedServer, usual: UsualTimes): ServerLoad => ({
 	server,
 	idHash: hashText(server.id),
 	inFlight: 0,
@@ -27,6 +31,7 @@
 	avoidUntilMs: 0,
 	isClosing: false,
 	parts: new RecentParts(),
+	health: new ServerHealth(usual),
 });
 
 /** A part that many programs share, and a server that was sent it. */
@@ -42,6 +47,12 @@
  * ```
  */
 export class ServerTable {
+	readonly #usual: UsualTimes = {
+		firstPiece: new TypicalTimes(),
+		whole: new TypicalTimes(),
+		pause: new TypicalTimes(),
+	};
+
 	#loads = new Map<UpstreamId, ServerLoad>();
 
 	/** Takes a new list. A server that started again under its id has no load, faults or cache. */
@@ -56,7 +67,10 @@
 				known.server = server;
 			}
 
-			next.set(server.id, known && isSameLife ? known : createLoad(server));
+			next.set(
+				server.id,
+				known && isSameLife ? known : createLoad(server, this.#usual),
+			);
 		}
 
 		this.#loads = next;
@@ -88,7 +102,10 @@
 			({server, isClosing}) =>
 				server.service === service && !server.isLeaving && !isClosing,
 		);
-		const usable = all.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
+		const usable = all.filter(
+			({avoidUntilMs, health}) =>
+				avoidUntilMs <= nowMs && !health.isAvoided(nowMs),
+		);
 		return usable.length > 0 ? usable : all;
 	}
 
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -1,7 +1,9 @@
 import {
+	type AttemptEnd,
 	Placement,
 	type PlacementRequest,
 	type ServerLoad,
+	type WatchedAttempt,
 } from '@marjoramcove/balancer';
 import {
 	type AnswerHead,
@@ -16,8 +18,8 @@
 import type {GatewayContext} from '../gateway-context.ts';
 import type {RequestContext} from './request-context.ts';
 
-/** Time for which a server that could not be reached, or broke an answer off, is avoided. */
-const AVOID_FAILED_MS = 1000;
+/** Time for which a server that says that it is leaving, or is another one, is avoided. */
+const AVOID_LEAVING_MS = 1000;
 
 /** Time for which a server that refused a request because it is full is avoided. */
 const AVOID_FULL_MS = 50;
@@ -46,6 +48,15 @@
 	excludedIds,
 });
 
+/** An answer that says that nothing ran tells of the load of its server, not of its health. */
+const judgeAnswer = ({status}: AnswerStart, head: AnswerHead): AttemptEnd => {
+	if (head.isNotRun) {
+		return 'cancelled';
+	}
+
+	return status >= 500 ? 'error' : 'answered';
+};
+
 const serverKey = ({server}: ServerLoad): string =>
 	`${server.id} ${server.address} ${server.bornAtMs ?? ''}`;
 
@@ -97,18 +108,28 @@
 			1,
 			this.#context.view.membersOf('entry').length,
 		);
+		const sentAtMs = performance.now();
+		const attempt = load.health.begin(
+			{
+				route: request.route.name,
+				streams: request.route.kind === 'stream' ? service : undefined,
+			},
+			sentAtMs,
+		);
+		let answerEnd: AttemptEnd = 'answered';
 		let isOver = false;
-		const release = () => {
+		const release = (end: AttemptEnd) => {
 			if (!isOver) {
 				isOver = true;
 				this.placement.noteEnd(load);
+				this.#noteAttemptEnd(load, attempt, end);
 			}
 		};
 
 		this.placement.noteSent(
 			load,
 			describePlacement(request, NONE_EXCLUDED),
-			performance.now(),
+			sentAtMs,
 		);
 		const sent = this.#client.send(
 			{
@@ -132,17 +153,20 @@
 				onSent: handlers.onSent,
 				onStart: (answer) => {
 					const head = heads.decodeAnswer(answer.status, answer.headers);
-					this.#noteAnswer(load, answer, head);
+					this.#noteRefusal(load, answer, head);
+					answerEnd = judgeAnswer(answer, head);
 					handlers.onStart({...answer, head});
 				},
-				onData: handlers.onData,
+				onData(chunk) {
+					load.health.notePiece(attempt, performance.now());
+					handlers.onData(chunk);
+				},
 				onEnd() {
-					release();
+					release(answerEnd);
 					handlers.onEnd();
 				},
 				onFailure(failure) {
-					release();
-					load.avoidUntilMs = performance.now() + AVOID_FAILED_MS;
+					release('failed');
 					handlers.onFailure(failure);
 				},
 			},
@@ -156,22 +180,42 @@
 				sent.resume();
 			},
 			cancel() {
-				release();
+				release('cancelled');
 				sent.cancel();
 			},
 		};
 	}
 
-	#noteAnswer(load: ServerLoad, answer: AnswerStart, head: AnswerHead): void {
-		if (head.isNotRun) {
-			load.avoidUntilMs =
-				performance.now() +
-				(answer.status === 421 ? AVOID_FAILED_MS : AVOID_FULL_MS);
+	/** A server that did not run the request says for how long it is of no use. */
+	#noteRefusal(load: ServerLoad, answer: AnswerStart, head: AnswerHead): void {
+		if (!head.isNotRun) {
+			return;
 		}
 
 		const connection = findHeader(answer.headers, 'connection') ?? '';
-		if (head.isNotRun && connection.toLowerCase().includes('close')) {
-			load.avoidUntilMs = performance.now() + AVOID_FAILED_MS;
+		const isLeaving =
+			answer.status === 421 || connection.toLowerCase().includes('close');
+		load.avoidUntilMs =
+			performance.now() + (isLeaving ? AVOID_LEAVING_MS : AVOID_FULL_MS);
+	}
+
+	#noteAttemptEnd(
+		load: ServerLoad,
+		attempt: WatchedAttempt,
+		end: AttemptEnd,
+	): void {
+		const nowMs = performance.now();
+		const avoidMs = load.health.end(attempt, end, nowMs);
+		if (avoidMs > 0) {
+			this.#context.logger.warn({
+				event: 'server-avoided',
+				server: load.server.id,
+				service: load.server.service,
+				route: attempt.route,
+				end,
+				waitedMs: Math.round(nowMs - attempt.sentAtMs),
+				avoidMs,
+			});
 		}
 	}
 }
