End a stop at its deadline

Only entry daemons kept the deadline of a stop; the report to the parent, the hand-over of leaderships and the close of files of the others were not bounded together, and an error in between kept the process running without a word.

The process now ends at stopDeadlineMs with a line drain-overdue, and logs an error of the stop.

--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -1,13 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Kernel, type Service} from '@marjoramcove/kernel';
 import {createLogger} from '@marjoramcove/logger';
 import type {GatewayAdapter} from './gateway-adapter.ts';
-import {
-	createGatewayContext,
-	type GatewayContext,
-	messageOf,
-	reasonOf,
-} from './gateway-context.ts';
+import {createGatewayContext, type GatewayContext} from './gateway-context.ts';
 import type {GatewaySettings} from './gateway-settings.ts';
 import {ControlService} from './services/control-service.ts';
 import {EntryService} from './services/entry-service.ts';
@@ -35,6 +31,9 @@
 /** Interval at which a stopping daemon checks whether its work is done. */
 const DRAIN_POLL_MS = 50;
 
+/** A parent that does not answer must not hold up a stop; callers have the address for a while anyway. */
+const REPORT_STOP_MS = 300;
+
 /** Time for which a daemon with a disk gives its leaderships away before it stops. */
 const HAND_OVER_MS = 3000;
 
@@ -177,7 +176,10 @@
 		const startedAtMs = performance.now();
 		this.#context.phase = 'draining';
 		logger.info({event: 'drain-started'});
-		await this.#kernel.get<FleetService>('fleet').reportNow();
+		await Promise.race([
+			this.#kernel.get<FleetService>('fleet').reportNow(),
+			sleep(REPORT_STOP_MS),
+		]);
 		await (settings.role === 'entry'
 			? this.#drainEntry(startedAtMs)
 			: Promise.race([this.#kernel.drain(), sleep(HAND_OVER_MS)]));
@@ -275,8 +277,24 @@
 			}
 
 			isDraining = true;
+			const {stopDeadlineMs} = settings.timing;
+			const overdue = setTimeout(() => {
+				// A disk or a connection that never answers must not keep the process until it is killed.
+				logger.warn({event: 'drain-overdue', stopDeadlineMs});
+				void finish(0);
+			}, stopDeadlineMs);
 			void (async () => {
-				await gateway.drain();
+				try {
+					await gateway.drain();
+				} catch (error) {
+					logger.error({
+						event: 'drain-failed',
+						reason: reasonOf(error),
+						error: messageOf(error),
+					});
+				}
+
+				clearTimeout(overdue);
 				await finish(0);
 			})();
 		});
