--- a/packages/daemon/src/daemon-context.ts
+++ b/packages/daemon/src/daemon-context.ts
@@ -66,14 +66,6 @@
 	};
 };
 
-/** Reason of any error, for counters and logs. */
-export const reasonOf = (error: unknown): string =>
-	error instanceof MarjoramcoveError ? error.reason : 'internal-error';
-
-/** Message of any error, for logs. */
-export const messageOf = (error: unknown): string =>
-	error instanceof Error ? error.message : String(error);
-
 /** Whether the error says that nothing ran and nothing will. */
 export const isNotRun = (error: unknown): boolean =>
 	error instanceof MarjoramcoveError && error.verdict === 'not-run';
--- a/packages/daemon/src/dispatcher/copy-keeper.ts
+++ b/packages/daemon/src/dispatcher/copy-keeper.ts
@@ -1,8 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import type {UpstreamId} from '@marjoramcove/types';
 import * as z from 'zod';
 import {programIdSchema} from '../call-contracts.ts';
-import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import type {UpstreamsService} from '../services/upstreams-service.ts';
--- a/packages/daemon/src/dispatcher/upstream-caller.ts
+++ b/packages/daemon/src/dispatcher/upstream-caller.ts
@@ -1,7 +1,8 @@
+import {messageOf} from '@marjoramcove/errors';
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import type {UpstreamId} from '@marjoramcove/types';
 import {Agent} from 'undici';
-import {type DaemonContext, messageOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {CallRun} from './call-run.ts';
 import {cancelStream, type ModelEnd, runModelCall} from './run-model-call.ts';
 import {runToolCall} from './run-tool-call.ts';
--- a/packages/daemon/src/entry/call-follower.ts
+++ b/packages/daemon/src/entry/call-follower.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {MarjoramcoveError} from '@marjoramcove/errors';
+import {MarjoramcoveError, reasonOf} from '@marjoramcove/errors';
 import {type CallOutcome, programOfShard} from '@marjoramcove/programs';
 import type {
 	AcceptInput,
@@ -8,7 +8,7 @@
 	Grant,
 	Usage,
 } from '../call-contracts.ts';
-import {type DaemonContext, isNotRun, reasonOf} from '../daemon-context.ts';
+import {type DaemonContext, isNotRun} from '../daemon-context.ts';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import type {PeersService} from '../services/peers-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
--- a/packages/daemon/src/entry/call-routes.ts
+++ b/packages/daemon/src/entry/call-routes.ts
@@ -1,5 +1,10 @@
 import type {ServerResponse} from 'node:http';
-import {MarjoramcoveError, ValidationError} from '@marjoramcove/errors';
+import {
+	MarjoramcoveError,
+	ValidationError,
+	messageOf,
+	reasonOf,
+} from '@marjoramcove/errors';
 import type {ProgramId} from '@marjoramcove/types';
 import * as z from 'zod';
 import {
@@ -7,7 +12,6 @@
 	acceptSchema,
 	type Target,
 } from '../call-contracts.ts';
-import {messageOf, reasonOf} from '../daemon-context.ts';
 import {messageMarker} from '../dispatcher/assemble-chat-messages.ts';
 import type {AnswerReader, ResumePosition} from './answer-delivery.ts';
 import {type FollowedCall, WHOLE_ANSWER_COALESCE_MS} from './call-follower.ts';
--- a/packages/daemon/src/entry/operator-routes.ts
+++ b/packages/daemon/src/entry/operator-routes.ts
@@ -6,7 +6,11 @@
 	validateResource,
 } from '@marjoramcove/configuration';
 import type {GroupStatus} from '@marjoramcove/consensus';
-import {MarjoramcoveError, ValidationError} from '@marjoramcove/errors';
+import {
+	MarjoramcoveError,
+	ValidationError,
+	messageOf,
+} from '@marjoramcove/errors';
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {
 	asId,
@@ -15,7 +19,6 @@
 	type OperationId,
 } from '@marjoramcove/types';
 import * as z from 'zod';
-import {messageOf} from '../daemon-context.ts';
 import {configGroup, shardGroup} from '../services/replication-service.ts';
 import type {EntryCore} from './entry-core.ts';
 import {type Handler, parseBody, sendJson} from './http-answers.ts';
--- a/packages/daemon/src/entry/read-attempt.ts
+++ b/packages/daemon/src/entry/read-attempt.ts
@@ -1,6 +1,6 @@
+import {reasonOf} from '@marjoramcove/errors';
 import type {CallHandlers} from '@marjoramcove/transport';
 import type {CallPayload, DispatchEvent, Grant} from '../call-contracts.ts';
-import {reasonOf} from '../daemon-context.ts';
 import type {PeersService} from '../services/peers-service.ts';
 
 /** How the stream of an attempt ended. */
--- a/packages/daemon/src/owner/call-recovery.ts
+++ b/packages/daemon/src/owner/call-recovery.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {
 	type CallOutcome,
 	findRequest,
@@ -11,7 +12,7 @@
 	type AttemptStatus,
 	type CallState,
 } from '../call-contracts.ts';
-import {messageOf, reasonOf, refusal} from '../daemon-context.ts';
+import {refusal} from '../daemon-context.ts';
 import {type CallAccepter, estimatePromptTokens} from './call-accepter.ts';
 import type {OpenCallLoads} from './open-call-loads.ts';
 import {type OwnerCore} from './owner-core.ts';
--- a/packages/daemon/src/owner/owner-sweeps.ts
+++ b/packages/daemon/src/owner/owner-sweeps.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {
 	type CancelledCall,
 	isExpiryDue,
@@ -13,7 +14,6 @@
 import PQueue from 'p-queue';
 import {Agent, request} from 'undici';
 import {type AcceptInput, attemptKey} from '../call-contracts.ts';
-import {messageOf, reasonOf} from '../daemon-context.ts';
 import {shardGroup} from '../services/replication-service.ts';
 import type {CallRecovery} from './call-recovery.ts';
 import {type CopyHolder, parseCopyHolder} from './copy-holder.ts';
--- a/packages/daemon/src/owner/pause-program.ts
+++ b/packages/daemon/src/owner/pause-program.ts
@@ -1,7 +1,7 @@
+import {reasonOf} from '@marjoramcove/errors';
 import type {ProgramDescription} from '@marjoramcove/programs';
 import {decideRetention, type RetentionDecision} from '@marjoramcove/scheduler';
 import type {ProgramId, UpstreamId} from '@marjoramcove/types';
-import {reasonOf} from '../daemon-context.ts';
 import {
 	type CopyHolder,
 	formatCopyHolder,
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -1,13 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Kernel} from '@marjoramcove/kernel';
 import {createLogger} from '@marjoramcove/logger';
 import type {Settings} from '@marjoramcove/settings';
-import {
-	createDaemonContext,
-	type DaemonContext,
-	messageOf,
-	reasonOf,
-} from './daemon-context.ts';
+import {createDaemonContext, type DaemonContext} from './daemon-context.ts';
 import {ConfigurationService} from './services/configuration-service.ts';
 import {ConfigurationLeaderService} from './services/configuration-leader-service.ts';
 import {DispatcherService} from './services/dispatcher-service.ts';
--- a/packages/daemon/src/services/configuration-leader-service.ts
+++ b/packages/daemon/src/services/configuration-leader-service.ts
@@ -17,6 +17,7 @@
 	NotLeaderError,
 	RevisionConflictError,
 	ValidationError,
+	reasonOf,
 } from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {
@@ -32,7 +33,7 @@
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
 import * as z from 'zod';
-import {type DaemonContext, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
 import {
--- a/packages/daemon/src/services/configuration-service.ts
+++ b/packages/daemon/src/services/configuration-service.ts
@@ -1,3 +1,4 @@
+import {reasonOf} from '@marjoramcove/errors';
 import {
 	ConfigurationView,
 	createLeaseState,
@@ -17,7 +18,7 @@
 import {backoffDelay} from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
 import * as z from 'zod';
-import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
+import {type DaemonContext, refusal} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {attemptTimeoutOf, type HeartbeatAnswer} from './heartbeat-contract.ts';
 import {RegistrarChoice} from './registrar-choice.ts';
--- a/packages/daemon/src/services/dispatcher-service.ts
+++ b/packages/daemon/src/services/dispatcher-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
@@ -13,12 +14,7 @@
 	type CallPayload,
 	type Grant,
 } from '../call-contracts.ts';
-import {
-	type DaemonContext,
-	messageOf,
-	reasonOf,
-	refusal,
-} from '../daemon-context.ts';
+import {type DaemonContext, refusal} from '../daemon-context.ts';
 import {AttemptSettler} from '../dispatcher/attempt-settler.ts';
 import {CallRun} from '../dispatcher/call-run.ts';
 import {ClosedAttempts} from '../dispatcher/closed-attempts.ts';
--- a/packages/daemon/src/services/engine-controller-service.ts
+++ b/packages/daemon/src/services/engine-controller-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {ConfigurationResult} from '@marjoramcove/configuration';
 import {
 	type ControllerAction,
@@ -11,7 +12,7 @@
 import type {UpstreamId} from '@marjoramcove/types';
 import PQueue from 'p-queue';
 import {Agent, request} from 'undici';
-import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {ConfigurationService} from './configuration-service.ts';
 import {configGroup, type ReplicationService} from './replication-service.ts';
 import type {UpstreamsService} from './upstreams-service.ts';
--- a/packages/daemon/src/services/entry-service.ts
+++ b/packages/daemon/src/services/entry-service.ts
@@ -1,13 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import polka from 'polka';
-import {
-	type DaemonContext,
-	messageOf,
-	reasonOf,
-	refusal,
-} from '../daemon-context.ts';
+import {type DaemonContext, refusal} from '../daemon-context.ts';
 import {createCompletionRoute, createToolRoute} from '../entry/call-routes.ts';
 import {EntryCore} from '../entry/entry-core.ts';
 import {forwardedHeader, RequestForwarder} from '../entry/forward-request.ts';
--- a/packages/daemon/src/services/group-client-service.ts
+++ b/packages/daemon/src/services/group-client-service.ts
@@ -1,9 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {MarjoramcoveError} from '@marjoramcove/errors';
+import {MarjoramcoveError, reasonOf} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {backoffDelay} from '@marjoramcove/transport';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
-import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
+import {type DaemonContext, refusal} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 
 type LeaderCallOptions = {
--- a/packages/daemon/src/services/peer-listener-service.ts
+++ b/packages/daemon/src/services/peer-listener-service.ts
@@ -1,6 +1,7 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {createPeerRouter, PeerServer} from '@marjoramcove/transport';
-import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 
 /** Listens for other daemons; registered after all services that serve procedures. */
--- a/packages/daemon/src/services/registrar-service.ts
+++ b/packages/daemon/src/services/registrar-service.ts
@@ -1,3 +1,4 @@
+import {reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	changesSince,
@@ -19,7 +20,7 @@
 } from '@marjoramcove/membership';
 import type {DaemonId} from '@marjoramcove/types';
 import * as z from 'zod';
-import {type DaemonContext, reasonOf, refusal} from '../daemon-context.ts';
+import {type DaemonContext, refusal} from '../daemon-context.ts';
 import type {GroupClientService} from './group-client-service.ts';
 import {
 	attemptTimeoutOf,
--- a/packages/daemon/src/services/replication-service.ts
+++ b/packages/daemon/src/services/replication-service.ts
@@ -5,12 +5,12 @@
 	type ReplicaChange,
 	ReplicaHost,
 } from '@marjoramcove/consensus';
-import {NotLeaderError} from '@marjoramcove/errors';
+import {NotLeaderError, messageOf, reasonOf} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {ProgramCommand} from '@marjoramcove/programs';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
 import * as z from 'zod';
-import {type DaemonContext, messageOf, reasonOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {PeersService} from './peers-service.ts';
 import {
 	ConfigurationMachine,
--- a/packages/daemon/src/services/upstreams-service.ts
+++ b/packages/daemon/src/services/upstreams-service.ts
@@ -1,3 +1,4 @@
+import {messageOf} from '@marjoramcove/errors';
 import {
 	isLabelledLeaving,
 	type UpstreamResource,
@@ -12,7 +13,7 @@
 } from '@marjoramcove/membership';
 import type {DaemonId, UpstreamId} from '@marjoramcove/types';
 import {Agent, request} from 'undici';
-import {type DaemonContext, messageOf} from '../daemon-context.ts';
+import type {DaemonContext} from '../daemon-context.ts';
 import type {ConfigurationService} from './configuration-service.ts';
 
 /** Last reports of an upstream. */
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -1,4 +1,5 @@
 export {assertInvariant} from './assert-invariant.ts';
+export {messageOf, reasonOf} from './describe-error.ts';
 export {type ErrorBody, fromErrorBody, toErrorBody} from './error-body.ts';
 export {
 	CommitUnknownError,
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -1,8 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {LastTurn} from '@marjoramcove/balancer';
 import {StreamReader} from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {Chain, TurnsService} from '../services/turns-service.ts';
 import {refuse} from './answer-caller.ts';
 import {forwardStream} from './forward-stream.ts';
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {MarjoramcoveError} from '@marjoramcove/errors';
 import type {MemberPhase} from '@marjoramcove/fleet';
 import type {DroppedLines, Logger} from '@marjoramcove/logger';
 import {
@@ -66,11 +65,3 @@
 		),
 	};
 };
-
-/** Reason of any error, for counters and logs. */
-export const reasonOf = (error: unknown): string =>
-	error instanceof MarjoramcoveError ? error.reason : 'internal-error';
-
-/** Message of any error, for logs. */
-export const messageOf = (error: unknown): string =>
-	error instanceof Error ? error.message : String(error);
--- a/packages/gateway/src/services/control-service.ts
+++ b/packages/gateway/src/services/control-service.ts
@@ -8,6 +8,8 @@
 	MarjoramcoveError,
 	NotLeaderError,
 	RefusedError,
+	messageOf,
+	reasonOf,
 } from '@marjoramcove/errors';
 import {
 	describeMembers,
@@ -20,7 +22,7 @@
 import * as z from 'zod';
 import {deliverInput, memberInput, putDocumentInput} from '../contracts.ts';
 import type {OperatorApi} from '../gateway-adapter.ts';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
 import type {PeersService} from './peers-service.ts';
 import {openReplicaHost} from './replica-links.ts';
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {
 	type CallerExchange,
 	IngressServer,
@@ -12,7 +13,7 @@
 import {forwardTurn} from '../entry/forward-turn.ts';
 import type {RequestContext, RequestOutcome} from '../entry/request-context.ts';
 import {Upstreams} from '../entry/upstreams.ts';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
 import type {TurnsService} from './turns-service.ts';
 
--- a/packages/gateway/src/services/fleet-service.ts
+++ b/packages/gateway/src/services/fleet-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	chooseParent,
@@ -11,7 +12,7 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {DaemonId, DiskId} from '@marjoramcove/types';
 import {type SyncInput, syncInput, type SyncOutput} from '../contracts.ts';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {PeersService} from './peers-service.ts';
 
 /** Time beyond the wait of a sync after which the parent counts as failed. */
--- a/packages/gateway/src/services/inventory-service.ts
+++ b/packages/gateway/src/services/inventory-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {
 	diffServers,
 	type InventorySource,
@@ -5,7 +6,7 @@
 	readWholeList,
 } from '@marjoramcove/inventory';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {ControlService} from './control-service.ts';
 
 /**
--- a/packages/gateway/src/services/news-service.ts
+++ b/packages/gateway/src/services/news-service.ts
@@ -1,3 +1,4 @@
+import {reasonOf} from '@marjoramcove/errors';
 import {
 	type InFlightByServer,
 	LoadLedger,
@@ -8,7 +9,7 @@
 } from '@marjoramcove/balancer';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {newsInput, type NewsOutput} from '../contracts.ts';
-import {type GatewayContext, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
 import type {PeersService} from './peers-service.ts';
 
--- a/packages/gateway/src/services/repair-service.ts
+++ b/packages/gateway/src/services/repair-service.ts
@@ -1,8 +1,9 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {GroupStatus, ReplicaHost} from '@marjoramcove/consensus';
 import {Service} from '@marjoramcove/kernel';
 import {type GroupDisk, planReplicas} from '@marjoramcove/replica-planner';
 import type {GroupId} from '@marjoramcove/types';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 
 /** Interval at which the groups that this daemon leads are checked. */
 const CHECK_INTERVAL_MS = 200;
--- a/packages/gateway/src/services/replica-links.ts
+++ b/packages/gateway/src/services/replica-links.ts
@@ -1,7 +1,8 @@
+import {reasonOf} from '@marjoramcove/errors';
 import {ReplicaHost} from '@marjoramcove/consensus';
 import type {PeerNetwork} from '@marjoramcove/transport';
 import type {DaemonId} from '@marjoramcove/types';
-import {type GatewayContext, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 
 /** Memory that the logs of all groups of a daemon may take; what is dropped stays on the disk. */
 const LOG_MEMORY_BYTES = 8 * 1024 * 1024;
--- a/packages/gateway/src/services/settings-service.ts
+++ b/packages/gateway/src/services/settings-service.ts
@@ -1,5 +1,6 @@
+import {messageOf} from '@marjoramcove/errors';
 import {Service} from '@marjoramcove/kernel';
-import {type GatewayContext, messageOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {GatewaySettings} from '../gateway-settings.ts';
 
 /** Interval at which the settings are read again, because they may change without a signal. */
--- a/packages/gateway/src/services/shard-planner-service.ts
+++ b/packages/gateway/src/services/shard-planner-service.ts
@@ -1,6 +1,7 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {planShardMap} from '@marjoramcove/control-state';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {ControlService} from './control-service.ts';
 
 const PLAN_INTERVAL_MS = 200;
--- a/packages/gateway/src/services/store-service.ts
+++ b/packages/gateway/src/services/store-service.ts
@@ -1,3 +1,4 @@
+import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {ShardMap} from '@marjoramcove/control-state';
 import {CommandClock, type ReplicaHost} from '@marjoramcove/consensus';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
@@ -26,7 +27,7 @@
 	type SettleInput,
 	settleInput,
 } from '../contracts.ts';
-import {type GatewayContext, messageOf, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import {ShardMapFile} from '../shard-map-file.ts';
 import type {FleetService} from './fleet-service.ts';
 import type {PeersService} from './peers-service.ts';
--- a/packages/gateway/src/services/turns-service.ts
+++ b/packages/gateway/src/services/turns-service.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {MarjoramcoveError, RefusedError} from '@marjoramcove/errors';
+import {MarjoramcoveError, RefusedError, reasonOf} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {Counter} from '@marjoramcove/metrics';
 import type {TurnResult} from '@marjoramcove/turns';
@@ -12,7 +12,7 @@
 import type {ChainOutput, ReserveInput, SettleInput} from '../contracts.ts';
 import {chooseShard} from '../choose-shard.ts';
 import {chooseOtherReplica, findShardLeader} from '../find-shard-leader.ts';
-import {type GatewayContext, reasonOf} from '../gateway-context.ts';
+import type {GatewayContext} from '../gateway-context.ts';
 import type {PeersService} from './peers-service.ts';
 
 /** Time for one call to a shard leader; a commit takes a few milliseconds, an election a second. */
--- a/packages/replica-planner/src/plan-replicas.ts
+++ b/packages/replica-planner/src/plan-replicas.ts
@@ -57,34 +57,11 @@
 		);
 };
 
-const planLearner = (
-	learner: ReplicaStatus,
-	{disks}: ReplicaPlanInput,
+/** A daemon came back without its disk; it gets its place again as a new copy. */
+const planLostDisk = (
+	replicas: readonly ReplicaStatus[],
+	disks: ReplicaPlanInput['disks'],
 ): ReplicaPlan | undefined => {
-	const {daemonId, diskId} = learner;
-	const disk = disks.find((candidate) => candidate.daemonId === daemonId);
-	if (disk && disk.diskId !== diskId) {
-		// The learner lost its disk before its promotion; the consensus layer removes the old one first.
-		return {
-			change: {
-				type: 'replace',
-				lostDaemonId: daemonId,
-				newDaemonId: daemonId,
-				newDiskId: disk.diskId,
-			},
-			reason: 'disk-lost',
-		};
-	}
-
-	return !disk && learner.isLive === false
-		? {change: {type: 'remove', daemonId}, reason: 'learner-gone'}
-		: undefined;
-};
-
-const planLostDisk = ({
-	replicas,
-	disks,
-}: ReplicaPlanInput): ReplicaPlan | undefined => {
 	for (const {daemonId, diskId} of replicas) {
 		const disk = disks.find((candidate) => candidate.daemonId === daemonId);
 		if (disk && disk.diskId !== diskId) {
@@ -103,6 +80,18 @@
 	return undefined;
 };
 
+/** When it lost its disk before its promotion, the consensus layer removes the old one first. */
+const planLearner = (
+	learner: ReplicaStatus,
+	{disks}: ReplicaPlanInput,
+): ReplicaPlan | undefined => {
+	const {daemonId, isLive} = learner;
+	const isListed = disks.some((disk) => disk.daemonId === daemonId);
+	return isListed || isLive !== false
+		? planLostDisk([learner], disks)
+		: {change: {type: 'remove', daemonId}, reason: 'learner-gone'};
+};
+
 const findReasonToMove = (
 	{diskId, daemonId, isLive}: ReplicaStatus,
 	{disks, retiringDisks}: ReplicaPlanInput,
@@ -157,7 +146,7 @@
 		return planLearner(learner, input);
 	}
 
-	const plan = planLostDisk(input) ?? planMove(input);
+	const plan = planLostDisk(input.replicas, input.disks) ?? planMove(input);
 	if (plan ?? input.replicas.length >= input.factor) {
 		return plan;
 	}
