Acknowledge an order to empty a disk only when the disk is known

Its report had no disk yet and replaced the one before, and the leader took an unknown disk for one that is being emptied already: it acknowledged the order and did nothing.

Found beside it: a control leader that was just elected answered 404 or 409, which end an order, because it had not heard of all daemons yet.

The decision is now KnownStores, without a network. An order is answered 503 while the daemon has not told its disk, or while the leader is too new to know all daemons. Ruled out: the planner of replicas, which never saw the disk among those to be emptied.

--- a/packages/gateway/src/services/control-service.ts
+++ b/packages/gateway/src/services/control-service.ts
@@ -11,11 +11,7 @@
 	messageOf,
 	reasonOf,
 } from '@marjoramcove/errors';
-import {
-	describeMembers,
-	type FleetMember,
-	noteReport,
-} from '@marjoramcove/fleet';
+import {describeMembers, noteReport} from '@marjoramcove/fleet';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {checkDocument} from '@marjoramcove/routes';
 import {asId, type DaemonId, type GroupId} from '@marjoramcove/types';
@@ -23,6 +19,7 @@
 import {deliverInput, memberInput, putDocumentInput} from '../contracts.ts';
 import type {OperatorApi} from '../gateway-adapter.ts';
 import type {GatewayContext} from '../gateway-context.ts';
+import {KnownStores} from '../known-stores.ts';
 import type {FleetService} from './fleet-service.ts';
 import type {PeersService} from './peers-service.ts';
 import {openReplicaHost} from './replica-links.ts';
@@ -33,6 +30,12 @@
 /** Interval at which the leader confirms its leadership and publishes the roster. */
 const LEADER_TICK_MS = 200;
 
+/**
+ * Times of silence after an election until all live daemons have reported: they first find that their
+ * parent is gone, then start themselves when everything was restarted.
+ */
+const SETTLE_INTERVALS = 2;
+
 /** Time for one call to the leader; operators go on to another daemon after a second. */
 const LEADER_CALL_MS = 800;
 
@@ -40,8 +43,7 @@
 export class ControlService extends Service implements OperatorApi {
 	readonly machine: ControlMachine;
 	readonly #context: GatewayContext;
-	/** Names and disks of the daemons with programs that were ever seen, for orders to empty them. */
-	readonly #knownStores = new Map<string, FleetMember>();
+	readonly #stores = new KnownStores();
 	readonly #leadershipListeners = new Set<() => void>();
 	#host: ReplicaHost | undefined;
 	#peers!: PeersService;
@@ -50,6 +52,7 @@
 	#isConfirming = false;
 	#publishedVersion = -1;
 	#wasLeader = false;
+	#leaderSinceMs = Infinity;
 
 	constructor(context: GatewayContext) {
 		super();
@@ -105,7 +108,7 @@
 		);
 		this.#context.view.onChange((topic) => {
 			if (topic === 'members') {
-				this.#noteStores();
+				this.#stores.note(this.#context.view.membersOf('state'));
 			}
 		});
 		this.#timer = setInterval(() => {
@@ -182,72 +185,35 @@
 		this.#leadershipListeners.add(listener);
 	}
 
-	#noteStores(): void {
-		for (const member of this.#context.view.membersOf('state')) {
-			this.#knownStores.set(member.name, member);
-		}
-	}
-
-	/** @throws RefusedError when no daemon with programs had this name. */
-	#findStore(memberName: string): FleetMember {
-		const store = this.#knownStores.get(memberName);
-		if (!store) {
-			throw new RefusedError(`No state daemon is named ${memberName}.`, {
-				reason: 'member-unknown',
-				hint: `Known names: ${[...this.#knownStores.keys()].join(', ')}.`,
-			});
-		}
-
-		return store;
-	}
-
 	async #retireAsLeader(memberName: string): Promise<void> {
-		const {diskId} = this.#findStore(memberName);
-		const retiring = new Set(this.machine.state.shardMap.retiringDisks);
-		if (diskId === undefined || retiring.has(diskId)) {
-			return;
-		}
-
-		const left = [...this.#knownStores.values()].filter(
-			(store) =>
-				store.diskId !== undefined &&
-				store.diskId !== diskId &&
-				!retiring.has(store.diskId),
-		);
-		const {factor} = this.#context.settings.replication;
-		if (left.length < factor) {
-			throw new RefusedError(
-				`Only ${left.length} disks would be left for ${factor} copies.`,
-				{reason: 'too-few-disks', hint: 'Add a state daemon first.'},
+		const diskId = this.#stores.planRetirement({
+			...this.#describeRetirement(memberName),
+			retiringDisks: this.machine.state.shardMap.retiringDisks,
+		});
+		if (diskId !== undefined) {
+			await this.#host!.propose(
+				CONTROL_GROUP,
+				encodeControlCommand({type: 'retire-disk', diskId}),
 			);
 		}
-
-		await this.#host!.propose(
-			CONTROL_GROUP,
-			encodeControlCommand({type: 'retire-disk', diskId}),
-		);
 	}
 
-	/** Every shard must report, by its newest leader, all its copies on other disks. */
 	#isEmptyAsLeader(memberName: string): boolean {
-		const {diskId} = this.#findStore(memberName);
-		const {shardMap} = this.machine.state;
-		const {factor} = this.#context.settings.replication;
-		if (diskId === undefined || !shardMap.retiringDisks.includes(diskId)) {
-			return false;
-		}
+		return this.#stores.isEmpty(
+			this.#describeRetirement(memberName),
+			this.machine.state.shardMap,
+			this.#context.view.members.flatMap(({ledGroups}) => ledGroups),
+		);
+	}
 
-		const led = this.#context.view.members.flatMap(({ledGroups}) => ledGroups);
-		return shardMap.shards.every(({groupId}) => {
-			const newest = led
-				.filter((group) => group.groupId === groupId)
-				.toSorted((a, b) => b.term - a.term)[0];
-			return (
-				newest !== undefined &&
-				newest.voters.length >= factor &&
-				!newest.voters.includes(diskId)
-			);
-		});
+	#describeRetirement(memberName: string) {
+		const {replication, timing} = this.#context.settings;
+		const leadsForMs = performance.now() - this.#leaderSinceMs;
+		return {
+			memberName,
+			factor: replication.factor,
+			isSettled: leadsForMs > SETTLE_INTERVALS * timing.memberSilenceMs,
+		};
 	}
 
 	#serve(): void {
@@ -317,6 +283,7 @@
 			isLeader,
 		});
 		if (isLeader && !this.#wasLeader) {
+			this.#leaderSinceMs = performance.now();
 			this.#adoptMembers();
 			for (const listener of this.#leadershipListeners) {
 				listener();
