--- a/packages/storage/src/node-file-system.ts
+++ b/packages/storage/src/node-file-system.ts
@@ -1,5 +1,6 @@
 import {
 	type FileHandle,
+	lstat,
 	mkdir,
 	open,
 	readdir,
@@ -73,6 +74,23 @@
 const isMissing = (error: unknown) =>
 	(error as {code?: unknown} | undefined)?.code === 'ENOENT';
 
+/**
+ * Whether there is a file of this name. Node.js can tell the types of names with their list, but fails on
+ * file systems without types in their folders when another writer removes a name meanwhile.
+ */
+const isFile = async (file: string): Promise<boolean> => {
+	try {
+		const stats = await lstat(file);
+		return stats.isFile();
+	} catch (error) {
+		if (isMissing(error)) {
+			return false;
+		}
+
+		throw error;
+	}
+};
+
 /**
  * The file system of the operating system.
  *
@@ -88,11 +106,13 @@
 	}
 
 	override async list(folder: string) {
-		const entries = await readdir(folder, {withFileTypes: true});
-		return entries
-			.filter((entry) => entry.isFile())
-			.map((entry) => entry.name)
-			.toSorted();
+		const names = await readdir(folder);
+		const files = await Promise.all(
+			names.map(async (name) =>
+				(await isFile(path.join(folder, name))) ? [name] : [],
+			),
+		);
+		return files.flat().toSorted();
 	}
 
 	override async open(file: string) {
