--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -23,6 +23,7 @@
 } from './engine/generate-text.ts';
 export {ModelEngine, type ReceivedCall} from './engine/model-engine.ts';
 export {HttpStandIn} from './http-stand-in.ts';
+export {closeServer, listenOnLoopback} from './listen-on-loopback.ts';
 export {
 	type Execution,
 	PlainService,
--- a/packages/test-support/src/listen-on-loopback.ts
+++ b/packages/test-support/src/listen-on-loopback.ts
@@ -1,3 +1,4 @@
+import type {Server as HttpServer} from 'node:http';
 import type {AddressInfo, Server} from 'node:net';
 
 /** Lets a server listen on the loopback address; 0 chooses a free port. Returns the port. */
@@ -11,3 +12,13 @@
 	});
 	return (server.address() as AddressInfo).port;
 };
+
+/** Stops a server and breaks off what is under way. */
+export const closeServer = async (server: HttpServer): Promise<void> => {
+	await new Promise<void>((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
+};
