Limit what a server can make a daemon hold

Informational responses without end kept a request until its deadline.

Ruled out: heads and trailers without end; the HTTP client already limits them to 16 KB (the tests cover them as well).

Also prints the state of the call when the test of late sends waits in vain for an intent.

--- /dev/null
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -0,0 +1,257 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {once} from 'node:events';
+import {
+	findHeader,
+	HeadCodec,
+	type HeaderList,
+	IngressServer,
+	type RequestHead,
+	type ResponseHead,
+} from '@marjoramcove/ingress';
+import type {ListedServer} from '@marjoramcove/inventory';
+import {type Route, RouteTable} from '@marjoramcove/routes';
+import {
+	asId,
+	type DaemonId,
+	type RequestId,
+	type UpstreamId,
+} from '@marjoramcove/types';
+import {createLogger} from '@marjoramcove/logger';
+import {GatewayAdapter} from '../gateway-adapter.ts';
+import {createGatewayContext, type GatewayContext} from '../gateway-context.ts';
+import {
+	DEFAULT_GATEWAY_TIMING,
+	type GatewaySettings,
+} from '../gateway-settings.ts';
+import type {RequestContext, RequestOutcome} from './request-context.ts';
+import {Upstreams} from './upstreams.ts';
+
+/** Header codec of the tests: a request id, and whether a server signed its response. */
+export class FixtureHeadCodec extends HeadCodec {
+	override decodeRequest(headers: HeaderList): RequestHead {
+		return {requestId: asId<RequestId>(findHeader(headers, 'x-request')!)};
+	}
+
+	override encodeForServer(headers: HeaderList): HeaderList {
+		return headers;
+	}
+
+	override decodeResponse(status: number, headers: HeaderList): ResponseHead {
+		return {
+			requestId: findHeader(headers, 'x-request') as RequestId | undefined,
+			isNotRun: findHeader(headers, 'x-not-run') !== undefined,
+			isSigned: findHeader(headers, 'x-signature') !== undefined,
+		};
+	}
+
+	override encodeLocalResponse(): HeaderList {
+		return [];
+	}
+}
+
+/** A server of the tests that answers each request with raw bytes. */
+export class RawServer {
+	/** Number of requests received; a request is a chunk that contains the end of a head. */
+	requestCount = 0;
+	/** Open connections that carried a request. */
+	readonly usedSockets = new Set<Socket>();
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(answer: (socket: Socket, requestIndex: number) => void) {
+		this.#server = createServer((socket) => {
+			this.#sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+				this.usedSockets.delete(socket);
+			});
+			socket.on('data', (chunk) => {
+				if (chunk.includes('\r\n\r\n')) {
+					this.requestCount++;
+					this.usedSockets.add(socket);
+					answer(socket, this.requestCount);
+				}
+			});
+		});
+	}
+
+	/** Starts listening and describes the server as the server list does. */
+	async start(id: string): Promise<ListedServer> {
+		this.#server.listen(0, '127.0.0.1');
+		await once(this.#server, 'listening');
+		const address = this.#server.address();
+		const port = typeof address === 'object' && address ? address.port : 0;
+		return {
+			id: asId<UpstreamId>(id),
+			service: 'desk',
+			address: `127.0.0.1:${port}`,
+			zone: 'a',
+			slots: 4,
+			isLeaving: false,
+		};
+	}
+
+	async stop(): Promise<void> {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		this.#server.close();
+	}
+}
+
+const createRoute = (changes: Partial<Route>): Route => ({
+	name: 'r-1',
+	host: '127.0.0.1',
+	pathPrefix: '/',
+	kind: 'idempotent',
+	services: [{service: 'desk', weight: 1}],
+	timeoutMs: 5000,
+	targetLatencyMs: 100,
+	targetGapMs: 0,
+	priority: 0,
+	maxAttempts: 1,
+	isResumable: false,
+	hasPrompt: false,
+	keepsTurns: false,
+	retentionMs: 0,
+	...changes,
+});
+
+const settings: GatewaySettings = {
+	name: 'entry-1',
+	daemonId: asId<DaemonId>('127.0.0.1:1'),
+	role: 'entry',
+	zone: 'a',
+	seeds: [],
+	isFirstFormation: false,
+	listen: {},
+	replication: {factor: 1, shardCount: 1},
+	timing: DEFAULT_GATEWAY_TIMING,
+	logs: {level: 'error', destination: '/dev/null'},
+};
+
+/** Adapter whose only working part is the header codec. */
+class FixtureAdapter extends GatewayAdapter {
+	override readonly headCodec = new FixtureHeadCodec();
+
+	override decodeDocument(): never {
+		throw new Error('The fixture has no routing document.');
+	}
+
+	override createInventory(): never {
+		throw new Error('The fixture has no server list.');
+	}
+
+	override createOperatorListener(): never {
+		throw new Error('The fixture serves no operators.');
+	}
+
+	override createDirectoryListener(): never {
+		throw new Error('The fixture has no directory.');
+	}
+
+	override createReadyListener(): never {
+		throw new Error('The fixture has no readiness check.');
+	}
+}
+
+type Forward = (
+	context: GatewayContext,
+	request: RequestContext,
+	options: {upstreams: Upstreams; table: RouteTable},
+) => Promise<RequestOutcome>;
+
+/** An entry daemon reduced to its HTTP server and its servers, with the route under test. */
+export class EntryFixture {
+	static async start(
+		servers: ListedServer[],
+		forward: Forward,
+		routeChanges: Partial<Route> = {},
+	): Promise<EntryFixture> {
+		const {logger, dropped} = await createLogger(settings.logs);
+		const context = createGatewayContext({
+			settings,
+			adapter: new FixtureAdapter(),
+			logger,
+			droppedLogLines: dropped,
+			fail(error) {
+				throw error as Error;
+			},
+		});
+		const fixture = new EntryFixture(
+			context,
+			forward,
+			createRoute(routeChanges),
+		);
+		context.view.merge({
+			servers: {stamp: {term: 1, sequence: 1}, items: servers},
+		});
+		fixture.upstreams.updateServers();
+		fixture.#port = await fixture.#server.start();
+		return fixture;
+	}
+
+	readonly upstreams: Upstreams;
+	readonly outcomes: RequestOutcome[] = [];
+	readonly #server: IngressServer;
+	#port = 0;
+
+	private constructor(context: GatewayContext, forward: Forward, route: Route) {
+		this.upstreams = new Upstreams(context);
+		const table = new RouteTable({
+			version: 1,
+			routes: [route],
+			services: [{name: 'desk', healthPath: '/health', maxConnections: 100}],
+			limits: {
+				headerSizeBytes: 16_384,
+				bodySizeBytes: 1_000_000,
+				headerTimeoutMs: 3000,
+				idleTimeoutMs: 15_000,
+			},
+		});
+		this.#server = new IngressServer({
+			address: '127.0.0.1:0',
+			onRequest: async (exchange) => {
+				const head = context.adapter.headCodec.decodeRequest(exchange.headers);
+				const body = await exchange.readBody(1_000_000);
+				const outcome = await forward(
+					context,
+					{
+						exchange,
+						head,
+						route,
+						service: 'desk',
+						body,
+						deadlineMs: exchange.receivedAtMs + route.timeoutMs,
+						documentVersion: 1,
+						progress: {},
+					},
+					{upstreams: this.upstreams, table},
+				);
+				this.outcomes.push(outcome);
+			},
+		});
+	}
+
+	/** Sends a request as a caller. */
+	async send(
+		requestId: string,
+	): Promise<{status: number; verdict?: string; body: string}> {
+		const response = await fetch(`http://127.0.0.1:${this.#port}/x`, {
+			headers: {'x-request': requestId},
+		});
+		const body = await response.text();
+		const isError = body.startsWith('{"error"');
+		const verdict = isError
+			? (JSON.parse(body) as {error: {verdict: string}}).error.verdict
+			: undefined;
+		return {status: response.status, verdict, body};
+	}
+
+	async stop(): Promise<void> {
+		await this.#server.stop();
+		await this.upstreams.close();
+	}
+}
--- a/packages/gateway/src/entry/forward-plain.ts
+++ b/packages/gateway/src/entry/forward-plain.ts
@@ -1,5 +1,9 @@
 import type {ServerLoad} from '@marjoramcove/balancer';
-import type {ResponseHead, HeaderList} from '@marjoramcove/ingress';
+import {
+	type ResponseHead,
+	type HeaderList,
+	ResponseBuffer,
+} from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId, Verdict} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
@@ -34,7 +38,7 @@
 	{upstreams, table}: {upstreams: Upstreams; table: RouteTable},
 ): Promise<AttemptResult> =>
 	new Promise((resolve) => {
-		const chunks: Uint8Array[] = [];
+		const buffer = new ResponseBuffer(upstreams.bufferMemory);
 		let responseStart: {
 			status: number;
 			headers: HeaderList;
@@ -44,6 +48,7 @@
 		const finish = (result: AttemptResult) => {
 			clearTimeout(timer);
 			removeAbandonListener();
+			buffer.discard();
 			resolve(result);
 		};
 
@@ -62,14 +67,13 @@
 				}
 			},
 			onData(chunk) {
-				chunks.push(chunk);
+				if (!buffer.push(chunk)) {
+					upstreamExchange.reject();
+					finish({type: 'failed', verdict, reason: 'response-too-large'});
+				}
 			},
 			onEnd() {
-				finish({
-					type: 'answered',
-					...responseStart,
-					body: Buffer.concat(chunks),
-				});
+				finish({type: 'answered', ...responseStart, body: buffer.take()});
 			},
 			onFailure(failure) {
 				finish({
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -1,9 +1,9 @@
 import type {ServerLoad} from '@marjoramcove/balancer';
-import type {
-	ResponseHead,
-	ResponseStart,
-	EventStreamReader,
-	UpstreamExchange,
+import {
+	type ResponseHead,
+	type ResponseStart,
+	type EventStreamReader,
+	ResponseBuffer,
 } from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId, Verdict} from '@marjoramcove/types';
@@ -15,7 +15,7 @@
 	type RequestContext,
 	type RequestOutcome,
 } from './request-context.ts';
-import type {Upstreams} from './upstreams.ts';
+import type {AttemptExchange, Upstreams} from './upstreams.ts';
 
 /** Maximum number of servers that a request is sent to. */
 const MAX_ATTEMPTS = 4;
@@ -50,10 +50,11 @@
 	readonly #reader: EventStreamReader;
 	readonly #resolve: (result: StreamAttemptResult) => void;
 	readonly #removeAbandonListener: () => void;
-	readonly #upstreamExchange: UpstreamExchange;
+	readonly #upstreamExchange: AttemptExchange;
 	readonly #timer: NodeJS.Timeout;
 	#responseStart: (ResponseStart & {head: ResponseHead}) | undefined;
-	readonly #chunks: Uint8Array[] = [];
+	/** Body of a response that is not an event stream. */
+	readonly #buffer: ResponseBuffer;
 	#verdict: Verdict = 'not-run';
 	#isStreaming = false;
 	#isFinished = false;
@@ -67,6 +68,7 @@
 		this.#request = request;
 		this.#reader = reader;
 		this.#resolve = resolve;
+		this.#buffer = new ResponseBuffer(upstreams.bufferMemory);
 		this.#removeAbandonListener = request.exchange.onDisconnect(() => {
 			this.#upstreamExchange.cancel();
 			this.#finish(
@@ -117,13 +119,20 @@
 
 	#handleData(chunk: Uint8Array): void {
 		if (!this.#isStreaming) {
-			this.#chunks.push(chunk);
+			if (!this.#buffer.push(chunk)) {
+				this.#reject('response-too-large');
+			}
+
 			return;
 		}
 
 		const {exchange, progress} = this.#request;
 		progress.firstByteMs ??= elapsedSinceReceiptMs(this.#request);
-		this.#reader.push(chunk);
+		if (!this.#reader.push(chunk)) {
+			this.#reject('event-too-large');
+			return;
+		}
+
 		exchange.write(chunk);
 		if (exchange.isCongested) {
 			this.#upstreamExchange.pause();
@@ -137,11 +146,16 @@
 		if (this.#isStreaming) {
 			this.#finish({type: 'streaming', end: {type: 'complete'}});
 		} else {
-			const body = Buffer.concat(this.#chunks);
+			const body = this.#buffer.take();
 			this.#finish({type: 'answered', start: this.#responseStart!, body});
 		}
 	}
 
+	#reject(reason: string): void {
+		this.#upstreamExchange.reject();
+		this.#fail(reason, this.#verdict);
+	}
+
 	#fail(reason: string, verdict: Verdict): void {
 		this.#finish(
 			this.#isStreaming
@@ -155,6 +169,7 @@
 			this.#isFinished = true;
 			clearTimeout(this.#timer);
 			this.#removeAbandonListener();
+			this.#buffer.discard();
 			this.#resolve(result);
 		}
 	}
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -1,6 +1,6 @@
 import {messageOf, reasonOf} from '@marjoramcove/errors';
 import type {LastTurn} from '@marjoramcove/balancer';
-import {EventStreamReader} from '@marjoramcove/ingress';
+import {EventStreamReader, ResponseBuffer} from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
@@ -206,7 +206,12 @@
 	const {route, body: input} = request;
 	const {chain, isCharged} = turn;
 	const body = chain ? Buffer.concat([chain.text, input]) : input;
-	const reader = new EventStreamReader();
+	const reader = new EventStreamReader({
+		buffer:
+			route.keepsTurns && isCharged
+				? new ResponseBuffer(options.upstreams.bufferMemory)
+				: undefined,
+	});
 	let isSettled = false;
 	let serverId: UpstreamId | undefined;
 	const settleBeforeEnd = async (
@@ -237,6 +242,7 @@
 		serverId = outcome.serverId;
 		return {...outcome, events: reader.eventCount};
 	} finally {
+		reader.discard();
 		if (isCharged && !isSettled) {
 			void options.turns.settleInBackground(
 				createSettlement(turn, reader, serverId),
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -6,6 +6,8 @@
 	type ObservedAttempt,
 } from '@marjoramcove/balancer';
 import {
+	BufferMemory,
+	MAX_BUFFERED_BYTES,
 	type ResponseHead,
 	type ResponseStart,
 	findHeader,
@@ -35,6 +37,12 @@
 	onFailure: (failure: UpstreamFailure) => void;
 };
 
+/** An attempt in progress. */
+export type AttemptExchange = UpstreamExchange & {
+	/** Cancels the attempt because the server misbehaves, which counts as a failure of the server. */
+	reject: () => void;
+};
+
 const NO_EXCLUDED_IDS: ReadonlySet<UpstreamId> = new Set();
 
 const createPlacementRequest = (
@@ -67,6 +75,8 @@
 export class Upstreams {
 	/** Load and cached prompt parts of the servers, as known to this daemon. */
 	readonly placement: Placement;
+	/** Memory of all responses that are buffered. */
+	readonly bufferMemory = new BufferMemory(MAX_BUFFERED_BYTES);
 	readonly #context: GatewayContext;
 	readonly #client = new UpstreamClient();
 
@@ -102,7 +112,7 @@
 		load: ServerLoad,
 		table: RouteTable,
 		handlers: AttemptHandlers,
-	): UpstreamExchange {
+	): AttemptExchange {
 		const {exchange, deadlineMs, body, service} = request;
 		const {headCodec} = this.#context.adapter;
 		const {server} = load;
@@ -186,6 +196,10 @@
 				release('cancelled');
 				upstreamExchange.cancel();
 			},
+			reject() {
+				release('failed');
+				upstreamExchange.cancel();
+			},
 		};
 	}
 
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -17,7 +17,17 @@
 	type MalformedRequest,
 } from './ingress-server.ts';
 export {splitAddress} from './split-address.ts';
-export {EventStreamReader} from './event-stream-reader.ts';
+export {
+	EventStreamReader,
+	type EventStreamReaderOptions,
+	MAX_EVENT_BYTES,
+} from './event-stream-reader.ts';
+export {
+	BufferMemory,
+	MAX_BUFFERED_BYTES,
+	MAX_BUFFERED_RESPONSE_BYTES,
+	ResponseBuffer,
+} from './response-buffer.ts';
 export {
 	type ResponseStart,
 	type ExchangeHandlers,
--- a/packages/ingress/src/upstream-client.ts
+++ b/packages/ingress/src/upstream-client.ts
@@ -63,6 +63,9 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 700;
 
+/** Number of informational (1xx) responses after which a server is considered faulty. */
+const MAX_INFORMATIONAL_RESPONSES = 16;
+
 /** Disables the timeouts for response heads and bodies, which are only forwarded. */
 const NO_TIMEOUT = 0;
 
@@ -143,6 +146,7 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#isSent = false;
 	#hasEnded = false;
+	#informationalResponses = 0;
 
 	constructor(handlers: ExchangeHandlers) {
 		this.#handlers = handlers;
@@ -181,10 +185,24 @@
 		controller: Dispatcher.DispatchController,
 		status: number,
 	): void {
-		// Informational (1xx) responses precede the final one and are ignored.
-		if (!this.#hasEnded && status >= 200) {
+		if (this.#hasEnded) {
+			return;
+		}
+
+		if (status >= 200) {
 			const raw = controller.rawHeaders as Buffer[] | string[];
 			this.#handlers.onStart({status, headers: readRawHeaders(raw)});
+			return;
+		}
+
+		// Informational (1xx) responses precede the final one and are ignored.
+		this.#informationalResponses++;
+		if (this.#informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+			controller.abort(
+				Object.assign(new Error('The server sends no final response.'), {
+					code: 'ENDLESS_RESPONSE_HEAD',
+				}),
+			);
 		}
 	}
 
--- a/packages/integration/src/helpers/charge-fee-fixture.ts
+++ b/packages/integration/src/helpers/charge-fee-fixture.ts
@@ -108,12 +108,25 @@
 		const blockingCalls = await this.#occupyAllSlots(blockingRefs);
 		const programId = await this.bed.caller(ENTRY_DAEMON).openProgram();
 		const ref = this.nextRef();
-		const firstAnswer = this.#sendUntilAccepted(programId, ref);
+		let settledAs = 'no answer yet';
+		const send = async () => {
+			const answer = await this.#sendUntilAccepted(programId, ref);
+			settledAs = JSON.stringify(answer) ?? 'no acceptance';
+		};
+
+		const firstAnswer = send();
 		await waitFor('the intent', async () => {
 			const program = await this.bed
 				.caller(OBSERVER_DAEMON)
 				.readProgram(programId);
-			return JSON.stringify(program.body).includes(ref);
+			const body = JSON.stringify(program.body);
+			if (!body.includes(ref)) {
+				throw new Error(
+					`the program is ${body}; the call ended with: ${settledAs}`,
+				);
+			}
+
+			return true;
 		});
 		return {
 			programId,
--- a/packages/inventory/src/inventory.test.ts
+++ b/packages/inventory/src/inventory.test.ts
@@ -75,4 +75,12 @@
 	it('rejects when a page fails, because a partial list would make servers appear removed', async () => {
 		await expect(readInventory(new PagedSource(pages, 1))).rejects.toThrow();
 	});
+
+	it('rejects a list whose pages do not end', async () => {
+		// Guards against a partial list, and against a reader that never finishes.
+		const endless = Array.from({length: 1000}, () => [createServer('a')]);
+		await expect(readInventory(new PagedSource(endless))).rejects.toThrow(
+			'more than 200 pages',
+		);
+	});
 });
--- a/packages/inventory/src/read-inventory.ts
+++ b/packages/inventory/src/read-inventory.ts
@@ -1,3 +1,4 @@
+import {RefusedError} from '@marjoramcove/errors';
 import type {InventorySource, ListedServer} from './listed-server.ts';
 
 /** Maximum number of pages per read; guards against endless pagination. */
@@ -10,7 +11,7 @@
  * @throws MarjoramcoveError when a page could not be read; a partial list is never returned.
  * @example
  * ```ts
- * const {servers, skippedEntries} = await readWholeList(source);
+ * const {servers, skippedEntries} = await readInventory(source);
  * ```
  */
 export const readInventory = async (
@@ -28,9 +29,12 @@
 
 		pageToken = result.nextPage;
 		if (pageToken === undefined) {
-			break;
+			return {servers: [...servers.values()], skippedEntries};
 		}
 	}
 
-	return {servers: [...servers.values()], skippedEntries};
+	throw new RefusedError(`The server list has more than ${MAX_PAGES} pages.`, {
+		reason: 'inventory-too-long',
+		hint: 'The next poll tries again.',
+	});
 };
