Watch links only while an answer is owed, and limit the load reports of a deployment

Every open link was pinged about three times a second, 171 entries reported their load ten times a second each.

Ruled out: one hot function; profiles of an entry and a control daemon under the soak are flat.

A link that leaves a call and a ping unanswered is closed at once, so that the retry uses a new connection.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -25,3 +25,4 @@
 } from './server-health.ts';
 export {type ServerLoad, ServerTable, type SharedPart} from './server-table.ts';
 export {DurationAverages} from './duration-averages.ts';
+export {deriveExchangeIntervalMs} from './derive-exchange-interval.ts';
--- a/packages/gateway/src/services/load-exchange-services.ts
+++ b/packages/gateway/src/services/load-exchange-services.ts
@@ -1,5 +1,7 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {reasonOf} from '@marjoramcove/errors';
 import {
+	deriveExchangeIntervalMs,
 	type InFlightByServer,
 	LoadReports,
 	SharedPartLog,
@@ -13,8 +15,8 @@
 import type {FleetService} from './fleet-service.ts';
 import type {PeersService} from './peers-service.ts';
 
-/** Interval of the exchange; short enough that daemons do not overload a server unaware of each other. */
-const EXCHANGE_INTERVAL_MS = 100;
+/** Interval at which the control daemons exchange the load of their children. */
+const RELAY_INTERVAL_MS = 100;
 
 /** Timeout of an exchange; a later response would be older than the next one. */
 const EXCHANGE_TIMEOUT_MS = 300;
@@ -87,7 +89,7 @@
 		);
 		this.#timer = setInterval(() => {
 			void this.#sendToPeers();
-		}, EXCHANGE_INTERVAL_MS);
+		}, RELAY_INTERVAL_MS);
 	}
 
 	override async stop() {
@@ -129,8 +131,7 @@
 	readonly #placement: Placement;
 	#peers!: PeersService;
 	#fleet!: FleetService;
-	#timer: NodeJS.Timeout | undefined;
-	#isExchanging = false;
+	#isStopped = false;
 	#position: SharedPartLogPosition | undefined;
 
 	constructor(context: GatewayContext, placement: Placement) {
@@ -146,22 +147,31 @@
 	override async start(kernel: ServiceDirectory) {
 		this.#peers = kernel.get<PeersService>('peers');
 		this.#fleet = kernel.get<FleetService>('fleet');
-		this.#timer = setInterval(() => {
-			void this.#exchange();
-		}, EXCHANGE_INTERVAL_MS);
+		void this.#runExchangeLoop();
 	}
 
 	override async stop() {
-		clearInterval(this.#timer);
+		this.#isStopped = true;
+	}
+
+	async #runExchangeLoop(): Promise<void> {
+		while (!this.#isStopped) {
+			const entryCount = this.#context.view.membersWithRole('entry').length;
+			const startedAtMs = performance.now();
+			await this.#exchange();
+			const elapsedMs = performance.now() - startedAtMs;
+			await sleep(
+				Math.max(1, deriveExchangeIntervalMs(entryCount) - elapsedMs),
+			);
+		}
 	}
 
 	async #exchange(): Promise<void> {
 		const {parentId} = this.#fleet;
-		if (parentId === undefined || this.#isExchanging) {
+		if (parentId === undefined) {
 			return;
 		}
 
-		this.#isExchanging = true;
 		try {
 			const {position, ...loadReport} =
 				await this.#peers.network.call<LoadReportOutput>(
@@ -186,8 +196,6 @@
 				step: 'news.exchange',
 				reason: reasonOf(error),
 			});
-		} finally {
-			this.#isExchanging = false;
 		}
 	}
 }
--- a/packages/gateway/src/services/peers-service.ts
+++ b/packages/gateway/src/services/peers-service.ts
@@ -13,6 +13,12 @@
  */
 const CONNECT_BACKOFF = {initialMs: 30, maximumMs: 250};
 
+/**
+ * Time without a message after which a daemon pings the client of a link. It only frees what the link of a
+ * lost client holds, since clients watch the links that they wait on themselves.
+ */
+const SERVER_SILENCE_MS = 10_000;
+
 /**
  * Links to other daemons. The id of a daemon is its address, so any daemon can be reached without a
  * lookup.
@@ -80,13 +86,13 @@
 	}
 
 	override async start() {
-		const {daemonId, timing} = this.#context.settings;
+		const {daemonId} = this.#context.settings;
 		const {procedures, posts} = this.#peers.network;
 		this.#server = new PeerServer({
 			listen: splitAddress(daemonId),
 			router: createPeerRouter(procedures),
 			posts,
-			silenceMs: timing.linkTimeoutMs,
+			silenceMs: SERVER_SILENCE_MS,
 		});
 		await this.#server.start();
 	}
--- a/packages/transport/src/peer-client.test.ts
+++ b/packages/transport/src/peer-client.test.ts
@@ -5,6 +5,7 @@
 	type Socket,
 	type AddressInfo,
 } from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {RefusedError} from '@marjoramcove/errors';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import * as z from 'zod';
@@ -14,6 +15,8 @@
 
 /** TCP proxy. `silence()` stops forwarding on the present connections without closing them; later ones work. */
 class SilencingProxy {
+	/** Number of chunks that were forwarded in either direction. */
+	forwardedChunks = 0;
 	readonly #sockets: Socket[] = [];
 	readonly #server: Server;
 
@@ -21,6 +24,12 @@
 		this.#server = createServer((incoming) => {
 			const outgoing = connect(targetPort, '127.0.0.1');
 			incoming.pipe(outgoing).pipe(incoming);
+			for (const socket of [incoming, outgoing]) {
+				socket.on('data', () => {
+					this.forwardedChunks++;
+				});
+			}
+
 			for (const socket of [incoming, outgoing]) {
 				socket.on('error', () => undefined);
 				this.#sockets.push(socket);
@@ -219,6 +228,65 @@
 		});
 	});
 
+	describe('an idle link', () => {
+		it('exchanges no messages', async () => {
+			// Guards against heartbeats of many idle links, which keep large deployments busy.
+			const proxy = new SilencingProxy(port);
+			const client = openClient({
+				address: `127.0.0.1:${await proxy.listen()}`,
+				heartbeatMs: 10,
+				silenceMs: 50,
+			});
+			await client.call('echo.text', 'before', {timeoutMs: 5000});
+			await sleep(50);
+			const before = proxy.forwardedChunks;
+			await sleep(200);
+			expect(proxy.forwardedChunks).toBe(before);
+			expect(await client.call('echo.text', 'later', {timeoutMs: 5000})).toBe(
+				'later',
+			);
+			expect(client.state).toBe('up');
+			proxy.close();
+		});
+
+		it('that became silent is replaced after the first call that gets no answer in time', async () => {
+			// Guards against a retry that waits on the same silent connection.
+			const proxy = new SilencingProxy(port);
+			const client = openClient({
+				address: `127.0.0.1:${await proxy.listen()}`,
+				heartbeatMs: 100,
+				silenceMs: 60_000,
+			});
+			await client.call('echo.text', 'before', {timeoutMs: 5000});
+			await sleep(300);
+			proxy.silence();
+			await expect(
+				client.call('echo.text', 'lost', {timeoutMs: 500}),
+			).rejects.toMatchObject({verdict: 'may-have-run'});
+			expect(await client.call('echo.text', 'retry', {timeoutMs: 500})).toBe(
+				'retry',
+			);
+			proxy.close();
+		});
+
+		it('stays open after a call that a live peer does not answer in time', async () => {
+			// Guards against a slow call that takes the other calls of its link with it.
+			const events: PeerClientEvent[] = [];
+			const client = openClient({
+				heartbeatMs: 20,
+				silenceMs: 60_000,
+				onEvent: (event) => events.push(event),
+			});
+			await expect(
+				client.call('echo.never', null, {timeoutMs: 400}),
+			).rejects.toMatchObject({reason: 'peer-timeout'});
+			expect(await client.call('echo.text', 'next', {timeoutMs: 5000})).toBe(
+				'next',
+			);
+			expect(events.map(({type}) => type)).toEqual(['connected']);
+		});
+	});
+
 	describe('subscribe', () => {
 		it('delivers all data in order and then completes', async () => {
 			const received: unknown[] = [];
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -89,7 +89,8 @@
 	): Promise<Output> {
 		const startedMs = performance.now();
 		const link = await this.#openLink(timeoutMs);
-		const remainingMs = timeoutMs - (performance.now() - startedMs);
+		const sentMs = performance.now();
+		const remainingMs = timeoutMs - (sentMs - startedMs);
 		return new Promise<Output>((resolve, reject) => {
 			const cancel = link.send('mutation', path, input, {
 				onData(data) {
@@ -104,6 +105,7 @@
 			const timer = setTimeout(
 				() => {
 					cancel();
+					link.recordTimeout(sentMs);
 					reject(peerTimeout(this.address, path, timeoutMs));
 				},
 				Math.max(1, remainingMs),
--- a/packages/transport/src/peer-link.ts
+++ b/packages/transport/src/peer-link.ts
@@ -12,8 +12,9 @@
 /** Limits and timing of one link. */
 export type LinkOptions = {
 	address: string;
+	/** Silence after which a peer that owes an answer is pinged; an idle link sends no pings. */
 	heartbeatMs: number;
-	/** Silence after which the link is closed and replaced. */
+	/** Silence of a peer that owes an answer after which the link is closed and replaced. */
 	silenceMs: number;
 	connectTimeoutMs: number;
 	maxMessageBytes: number;
@@ -23,6 +24,9 @@
 	maxBufferedBytes: number;
 };
 
+/** Minimum time for which a peer may leave a ping unanswered. */
+const MIN_PING_WAIT_MS = 150;
+
 /** Callbacks of a call or a subscription. */
 export type CallHandlers = {
 	onData: (data: unknown) => void;
@@ -63,8 +67,14 @@
 	/** Messages of the next flush; one-way messages have no id. */
 	#queue: Array<{id?: number; bytes: Uint8Array}> = [];
 	#nextId = 1;
+	#lastSentMs = Number.NEGATIVE_INFINITY;
 	#lastReceivedMs = performance.now();
-	#lastCheckMs = performance.now();
+	/** Start of the present silence: the last received message, or the first one sent after an idle time. */
+	#silentSinceMs = performance.now();
+	/** Time of the last ping; `undefined` once something was received after it. */
+	#pingSentMs: number | undefined;
+	#checkAtMs = 0;
+	/** Runs while the peer owes an answer. */
 	#timer: NodeJS.Timeout | undefined;
 	#flushScheduled = false;
 	#closed = false;
@@ -126,6 +136,24 @@
 		this.#scheduleFlush();
 	}
 
+	/**
+	 * Notes that a call got no answer in time. Closes the link if the peer has not even answered a ping since
+	 * the call was sent, so that a retry uses a new connection.
+	 *
+	 * @param sentMs - monotonic time at which the call was sent.
+	 */
+	recordTimeout(sentMs: number): void {
+		const isPingLost =
+			this.#pingSentMs !== undefined &&
+			performance.now() - this.#pingSentMs >= MIN_PING_WAIT_MS;
+		// A late check means that this process was suspended, and that received data may still be unread.
+		const isSuspended =
+			performance.now() - this.#checkAtMs > this.#options.heartbeatMs;
+		if (isPingLost && !isSuspended && this.#lastReceivedMs < sentMs) {
+			this.close('silent');
+		}
+	}
+
 	/** Closes the link; pending calls fail. */
 	close(reason: CloseReason = 'released'): void {
 		this.#closeReason = reason;
@@ -140,11 +168,7 @@
 	async #listen(): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this.#socket.on('open', () => {
-				this.#lastReceivedMs = performance.now();
-				this.#lastCheckMs = this.#lastReceivedMs;
-				this.#timer = setInterval(() => {
-					this.#checkHeartbeat();
-				}, this.#options.heartbeatMs);
+				this.#recordReceived();
 				resolve();
 			});
 			this.#socket.on('message', (data: Buffer, isBinary) => {
@@ -197,6 +221,7 @@
 		const sendBatch = () => {
 			if (batch.length > 0) {
 				this.#socket.send(joinFrame(batch));
+				this.#recordSent();
 			}
 
 			batch = [];
@@ -226,7 +251,7 @@
 	}
 
 	#receive(data: Buffer, isBinary: boolean): void {
-		this.#lastReceivedMs = performance.now();
+		this.#recordReceived();
 		if (!isBinary) {
 			if (data.toString() === 'PING') {
 				this.#socket.send('PONG');
@@ -286,26 +311,57 @@
 		}
 	}
 
+	#recordReceived(): void {
+		this.#lastReceivedMs = performance.now();
+		this.#silentSinceMs = this.#lastReceivedMs;
+		this.#pingSentMs = undefined;
+	}
+
+	#recordSent(): void {
+		this.#lastSentMs = performance.now();
+		if (this.#timer === undefined) {
+			this.#silentSinceMs = this.#lastSentMs;
+			this.#scheduleCheck();
+		}
+	}
+
+	#scheduleCheck(): void {
+		const {heartbeatMs} = this.#options;
+		this.#checkAtMs = performance.now() + heartbeatMs;
+		this.#timer = setTimeout(() => {
+			this.#timer = undefined;
+			this.#checkHeartbeat();
+		}, heartbeatMs);
+	}
+
 	#checkHeartbeat(): void {
+		const isAnswerOwed =
+			this.#pending.size > 0 || this.#lastSentMs > this.#lastReceivedMs;
+		if (!isAnswerOwed || this.#closed) {
+			return;
+		}
+
+		const {heartbeatMs, silenceMs} = this.#options;
 		const nowMs = performance.now();
-		const delayMs = nowMs - this.#lastCheckMs - this.#options.heartbeatMs;
-		this.#lastCheckMs = nowMs;
 		// After this process itself was suspended, received data may still be unread, so the silence of
 		// the peer is measured anew from now.
-		if (delayMs > this.#options.heartbeatMs) {
-			this.#lastReceivedMs = nowMs;
+		if (nowMs - this.#checkAtMs > heartbeatMs) {
+			this.#silentSinceMs = nowMs;
 		}
 
-		if (nowMs - this.#lastReceivedMs > this.#options.silenceMs) {
+		const silentMs = nowMs - this.#silentSinceMs;
+		if (silentMs > silenceMs) {
 			this.close('silent');
 			return;
 		}
 
 		// A message received since the last check already shows that the peer is alive.
-		const isQuiet = nowMs - this.#lastReceivedMs >= this.#options.heartbeatMs;
-		if (isQuiet && this.#socket.readyState === WebSocket.OPEN) {
+		if (silentMs >= heartbeatMs && this.#socket.readyState === WebSocket.OPEN) {
+			this.#pingSentMs ??= nowMs;
 			this.#socket.send('PING');
 		}
+
+		this.#scheduleCheck();
 	}
 
 	#finish(): void {
@@ -314,7 +370,7 @@
 		}
 
 		this.#closed = true;
-		clearInterval(this.#timer);
+		clearTimeout(this.#timer);
 		const calls = [...this.#pending.values()];
 		this.#pending.clear();
 		this.#queue = [];
