Place plain requests by their object, and ask only daemons that hold a shard

Three causes in placing and routing:

Servers are now ranked for the key by rendezvous hashing, without a table.

Chains were read from the first state daemon of the zone, and a lost leader was looked for among all 24 daemons; with factor 5 most hold no replica and know no leader. Both now use the voters that the newest leader reported. More than 64 entries in a zone: each look-up gets a random sample, not the first 64.

--- a/packages/balancer/src/choose-server.test.ts
+++ b/packages/balancer/src/choose-server.test.ts
@@ -198,4 +198,14 @@
 		table.all()[1]!.inFlight = 3;
 		expect(table.countInFlight()).toEqual({2: 3});
 	});
+
+	it('prefers a server with an idle connection unless it is busier', () => {
+		// Guards against a handshake for nearly every request of a daemon that has many servers.
+		const table = createTable(['1', '2', '3'].map((id) => createServer(id)));
+		const isConnected = ({server}: {server: ListedServer}) => server.id === '2';
+		expect(choose(table, {isConnected})).toBe('2');
+		const connected = table.all().find(({server}) => server.id === '2')!;
+		connected.othersInFlight = 3;
+		expect(choose(table, {isConnected})).not.toBe('2');
+	});
 });
--- a/packages/balancer/src/choose-server.ts
+++ b/packages/balancer/src/choose-server.ts
@@ -1,4 +1,6 @@
-import {hashText, type UpstreamId} from '@marjoramcove/types';
+import {type AffinityKey, hashText, type UpstreamId} from '@marjoramcove/types';
+import {AffinityRanking} from './affinity-ranking.ts';
+import {combineHashes, HASH_RANGE} from './combine-hashes.ts';
 import type {PromptPart} from './prefix-cache-estimate.ts';
 import type {ServerLoad} from './server-table.ts';
 
@@ -15,8 +17,12 @@
 	zone: string;
 	/** Parts of the prompt, in order; absent for plain requests, which have no prompt. */
 	prompt?: readonly PromptPart[];
+	/** Object that a plain request concerns, on routes whose servers are faster at recent objects. */
+	affinityKey?: AffinityKey;
 	/** The last turn of the program. */
 	last?: LastTurn;
+	/** Whether this daemon has an idle connection to a server; by default it has one to each. */
+	isConnected?: (load: ServerLoad) => boolean;
 	/** Servers that this request has already been sent to. */
 	excludedIds: ReadonlySet<UpstreamId>;
 	nowMs: number;
@@ -51,6 +57,13 @@
 	 * cache the part on the same few servers.
 	 */
 	affinityCostShare: number;
+	/**
+	 * Cost of a server that has presumably not handled the object of a request: the time that it takes longer.
+	 * A server with some more requests in progress is preferred for its objects, a full one is not.
+	 */
+	coldObjectCostMs: number;
+	/** Cost of a new connection: its handshake, which may also occupy a slot of the server. */
+	connectCostMs: number;
 	/** Range of the random factor that spreads the requests of daemons with the same view. */
 	jitterShare: number;
 };
@@ -69,23 +82,11 @@
 	crossZoneCostMs: 2,
 	coldPartCostShare: 0.35,
 	affinityCostShare: 1,
+	coldObjectCostMs: 12,
+	connectCostMs: 3,
 	jitterShare: 0.3,
 };
 
-const HASH_RANGE = 2 ** 32;
-
-/** Multiplier of the 32-bit finaliser of MurmurHash3. */
-const MIX_MULTIPLIER = 0x85_eb_ca_6b;
-
-/** Combines two hashes; cheaper than hashing two strings for every server on every choice. */
-const combineHashes = (first: number, second: number): number => {
-	/* eslint-disable no-bitwise */
-	let mixed = first ^ second;
-	mixed = Math.imul(mixed ^ (mixed >>> 16), MIX_MULTIPLIER);
-	return (mixed ^ (mixed >>> 13)) >>> 0;
-	/* eslint-enable no-bitwise */
-};
-
 const sumTokens = (parts: readonly PromptPart[]): number =>
 	parts.reduce((sum, {tokens}) => sum + tokens, 0);
 
@@ -192,6 +193,7 @@
 		? estimatePromptCostMs(load, prompt, context, settings)
 		: estimatePlainCostMs(load, settings)) +
 	load.health.slowdownMs(context.nowMs) +
+	(context.isConnected?.(load) === false ? settings.connectCostMs : 0) +
 	(load.server.zone === context.zone ? 0 : settings.crossZoneCostMs);
 
 /**
@@ -210,6 +212,10 @@
 	settings = DEFAULT_BALANCER_SETTINGS,
 ): ServerLoad | undefined => {
 	const prompt = context.prompt && summarizePrompt(context.prompt);
+	const ranking =
+		context.affinityKey === undefined
+			? undefined
+			: new AffinityRanking(context.affinityKey, candidates);
 	let best: {load: ServerLoad; costMs: number} | undefined;
 	for (const load of candidates) {
 		if (context.excludedIds.has(load.server.id)) {
@@ -218,8 +224,12 @@
 
 		const jitter = 1 + settings.jitterShare * (context.random() - 0.5);
 		// A random value below 1 ms breaks ties between idle servers.
+		const coldObjectCostMs = ranking
+			? ranking.coldShare(load) * settings.coldObjectCostMs
+			: 0;
 		const costMs =
-			estimateCostMs(load, context, settings, prompt) * jitter +
+			(estimateCostMs(load, context, settings, prompt) + coldObjectCostMs) *
+				jitter +
 			context.random();
 		if (!best || costMs < best.costMs) {
 			best = {load, costMs};
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -25,4 +25,5 @@
 } from './server-health.ts';
 export {type ServerLoad, ServerTable, type SharedPart} from './server-table.ts';
 export {DurationAverages} from './duration-averages.ts';
+export {AffinityRanking} from './affinity-ranking.ts';
 export {deriveExchangeIntervalMs} from './derive-exchange-interval.ts';
--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -1,4 +1,4 @@
-import type {UpstreamId} from '@marjoramcove/types';
+import type {AffinityKey, UpstreamId} from '@marjoramcove/types';
 import type {ListedServer} from '@marjoramcove/inventory';
 import {
 	type BalancerSettings,
@@ -24,7 +24,11 @@
 	prompt?: readonly PromptPart[];
 	/** Identifies the program, to detect parts that several programs share. */
 	programId: string;
+	/** Object that a plain request concerns. */
+	affinityKey?: AffinityKey;
 	last?: LastTurn;
+	/** Whether this daemon has an idle connection to a server. */
+	isConnected?: (load: ServerLoad) => boolean;
 	/** Servers that the request has already been sent to. */
 	excludedIds: ReadonlySet<UpstreamId>;
 };
@@ -82,10 +86,19 @@
 	choose(request: PlacementRequest, nowMs: number): ServerLoad | undefined {
 		const {zone, settings, random} = this.#options;
 		const candidates = this.#table.candidates(request.service, nowMs);
-		const {prompt, last, excludedIds} = request;
+		const {prompt, affinityKey, last, isConnected, excludedIds} = request;
 		return chooseServer(
 			candidates,
-			{zone, prompt, last, excludedIds, nowMs, random},
+			{
+				zone,
+				prompt,
+				affinityKey,
+				last,
+				isConnected,
+				excludedIds,
+				nowMs,
+				random,
+			},
 			settings,
 		);
 	}
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -7,6 +7,8 @@
 /** A server with this daemon's view of its load, prefix cache and health. */
 export type ServerLoad = {
 	server: ListedServer;
+	/** Distinguishes incarnations of a server, and different servers at the same address. */
+	key: string;
 	/** Hash of the server's id. */
 	idHash: number;
 	/** In-flight requests of this daemon. */
@@ -28,6 +30,7 @@
 	baseline: BaselineDurations,
 ): ServerLoad => ({
 	server,
+	key: `${server.id} ${server.address} ${server.bornAtMs ?? ''}`,
 	idHash: hashText(server.id),
 	inFlight: 0,
 	othersInFlight: 0,
--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -113,7 +113,7 @@
 	priority: 0,
 	maxAttempts: 1,
 	isResumable: false,
-	hasPrompt: false,
+	hasAffinity: false,
 	keepsTurns: false,
 	retentionMs: 0,
 	...changes,
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -48,13 +48,18 @@
 const createPlacementRequest = (
 	{route, head, service, last}: RequestContext,
 	excludedIds: ReadonlySet<UpstreamId>,
-): PlacementRequest => ({
-	service,
-	prompt: route.hasPrompt ? (head.promptParts ?? []) : undefined,
-	programId: head.programId ?? head.requestId ?? '',
-	last,
-	excludedIds,
-});
+): PlacementRequest => {
+	const hasPrompt = route.kind === 'stream' || head.promptParts !== undefined;
+	return {
+		service,
+		prompt:
+			route.hasAffinity && hasPrompt ? (head.promptParts ?? []) : undefined,
+		affinityKey: route.hasAffinity && !hasPrompt ? head.affinityKey : undefined,
+		programId: head.programId ?? head.requestId ?? '',
+		last,
+		excludedIds,
+	};
+};
 
 /** A response stating that the request did not run indicates load on the server, not a health problem. */
 const classifyResponse = (
@@ -68,9 +73,6 @@
 	return status >= 500 ? 'error' : 'answered';
 };
 
-const serverKey = ({server}: ServerLoad): string =>
-	`${server.id} ${server.address} ${server.bornAtMs ?? ''}`;
-
 /** Chooses servers, sends attempts to them and tracks the results. */
 export class Upstreams {
 	/** Load and cached prompt parts of the servers, as known to this daemon. */
@@ -88,9 +90,7 @@
 	/** Adopts the servers of the current view. */
 	updateServers(): void {
 		this.placement.replaceServers(this.#context.view.servers);
-		this.#client.retain(
-			new Set(this.placement.servers.map((load) => serverKey(load))),
-		);
+		this.#client.retain(new Set(this.placement.servers.map(({key}) => key)));
 	}
 
 	async close(): Promise<void> {
@@ -102,8 +102,13 @@
 		request: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
 	): ServerLoad | undefined {
-		const placementRequest = createPlacementRequest(request, excludedIds);
-		return this.placement.choose(placementRequest, performance.now());
+		return this.placement.choose(
+			{
+				...createPlacementRequest(request, excludedIds),
+				isConnected: ({key}) => this.#client.hasIdleConnection(key),
+			},
+			performance.now(),
+		);
 	}
 
 	/** Sends one attempt of the request to a server. */
@@ -146,7 +151,7 @@
 		);
 		const upstreamExchange = this.#client.send(
 			{
-				key: serverKey(load),
+				key: load.key,
 				address: server.address,
 				maxConnections: Math.max(
 					MIN_CONNECTIONS,
--- a/packages/gateway/src/services/http-service.ts
+++ b/packages/gateway/src/services/http-service.ts
@@ -59,7 +59,11 @@
 			return undefined;
 		}
 
-		const addresses = chooseEntryAddresses(view.membersWithRole('entry'), zone);
+		const addresses = chooseEntryAddresses(
+			view.membersWithRole('entry'),
+			zone,
+			Math.random,
+		);
 		return addresses.length > 0
 			? {addresses, ttlMs: settings.timing.addressTtlMs}
 			: undefined;
--- a/packages/gateway/src/services/turns-service.ts
+++ b/packages/gateway/src/services/turns-service.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MarjoramcoveError, RefusedError, reasonOf} from '@marjoramcove/errors';
+import type {FleetMember} from '@marjoramcove/fleet';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {Counter} from '@marjoramcove/metrics';
 import type {TurnResult} from '@marjoramcove/turns';
@@ -10,7 +11,11 @@
 	RequestId,
 } from '@marjoramcove/types';
 import {chooseShard} from '../choose-shard.ts';
-import {chooseOtherReplica, findShardLeader} from '../find-shard-leader.ts';
+import {
+	chooseOtherReplica,
+	findShardLeader,
+	findShardReplicas,
+} from '../find-shard-leader.ts';
 import type {GatewayContext} from '../gateway-context.ts';
 import type {ChainOutput, ReserveInput, SettleInput} from '../peer-messages.ts';
 import type {PeersService} from './peers-service.ts';
@@ -139,9 +144,9 @@
 	}
 
 	/**
-	 * Reads the text of a turn and all turns before it: first from a replica in the same zone, then from the
-	 * leader of the program's shard, which stores it unless it belongs to another program, then from the
-	 * leaders of all other shards.
+	 * Reads the text of a turn and all turns before it: first from a replica of the program's shard in the same
+	 * zone, then from the leader of that shard, which stores it unless it belongs to another program, then from
+	 * the leaders of all other shards.
 	 *
 	 * @returns `undefined` if every shard has confirmed that there is no such turn.
 	 * @throws MarjoramcoveError if that cannot be determined before the deadline.
@@ -151,17 +156,17 @@
 		programId: ProgramId | undefined,
 		{deadlineMs}: Deadline,
 	): Promise<Chain | undefined> {
-		const sameZoneChain = await this.#readChainInSameZone(turnId);
-		if (sameZoneChain) {
-			this.#chainReads.increment({source: 'own-zone'});
-			return sameZoneChain;
-		}
-
 		const shards = this.#context.view.topics.shardMap?.shards ?? [];
 		const groupIds = new Set(shards.map(({groupId}) => groupId));
 		if (programId !== undefined) {
 			const homeShard = this.shardOf(programId);
 			groupIds.delete(homeShard);
+			const sameZoneChain = await this.#readChainInSameZone(homeShard, turnId);
+			if (sameZoneChain) {
+				this.#chainReads.increment({source: 'own-zone'});
+				return sameZoneChain;
+			}
+
 			const chain = await this.#readChainFromLeader(
 				homeShard,
 				turnId,
@@ -199,11 +204,14 @@
 			: undefined;
 	}
 
-	async #readChainInSameZone(turnId: RequestId): Promise<Chain | undefined> {
-		const {settings, view} = this.#context;
-		const replica = view
-			.membersWithRole('state')
-			.find(({zone, phase}) => zone === settings.zone && phase === 'ready');
+	async #readChainInSameZone(
+		groupId: GroupId,
+		turnId: RequestId,
+	): Promise<Chain | undefined> {
+		const {zone} = this.#context.settings;
+		const replica = this.#findReplicas(groupId).find(
+			(member) => member.zone === zone && member.phase === 'ready',
+		);
 		if (!replica) {
 			return undefined;
 		}
@@ -269,13 +277,30 @@
 		);
 	}
 
+	#findReplicas(groupId: GroupId): FleetMember[] {
+		const {members, topics} = this.#context.view;
+		return findShardReplicas(members, topics.shardMap, groupId);
+	}
+
 	#findLeader(groupId: GroupId): DaemonId | undefined {
 		const {members} = this.#context.view;
 		return (
 			this.#leaderHints.get(groupId) ??
 			findShardLeader(members, groupId) ??
 			// Any replica can name the leader, often before the leader's report has arrived here.
-			chooseOtherReplica(members, undefined, Math.random())
+			this.#chooseOtherReplica(groupId, undefined)
+		);
+	}
+
+	#chooseOtherReplica(
+		groupId: GroupId,
+		failedId: DaemonId | undefined,
+	): DaemonId | undefined {
+		return chooseOtherReplica(
+			this.#context.view.members,
+			this.#findReplicas(groupId),
+			failedId,
+			Math.random(),
 		);
 	}
 
@@ -294,11 +319,7 @@
 			return;
 		}
 
-		const nextId = chooseOtherReplica(
-			this.#context.view.members,
-			leaderId,
-			Math.random(),
-		);
+		const nextId = this.#chooseOtherReplica(groupId, leaderId);
 		if (nextId !== undefined) {
 			this.#leaderHints.set(groupId, nextId);
 		}
--- a/packages/ingress/src/head-codec.ts
+++ b/packages/ingress/src/head-codec.ts
@@ -1,4 +1,9 @@
-import type {ProgramId, RequestId, UpstreamId} from '@marjoramcove/types';
+import type {
+	AffinityKey,
+	ProgramId,
+	RequestId,
+	UpstreamId,
+} from '@marjoramcove/types';
 import type {HeaderList} from './header-list.ts';
 
 /** A part of a prompt that several requests may share. */
@@ -18,6 +23,8 @@
 	/** Maximum number of tokens that this request generates. */
 	maxTokens?: number;
 	promptParts?: PromptPart[];
+	/** Object that the request concerns; servers that handled it recently are faster. */
+	affinityKey?: AffinityKey;
 	/** Turn that this request continues. */
 	previousTurnId?: RequestId;
 	/** Last event of an interrupted stream that the caller received. */
--- a/packages/ingress/src/upstream-client.test.ts
+++ b/packages/ingress/src/upstream-client.test.ts
@@ -138,6 +138,21 @@
 		expect([first.body, second.body]).toEqual(['one', 'two']);
 	});
 
+	it('reports an idle connection only between requests', async () => {
+		let duringRequest: boolean | undefined;
+		const address = await startServer((text, socket) => {
+			if (text.includes('body')) {
+				duringRequest = client!.hasIdleConnection(address);
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+			}
+		});
+		client = new UpstreamClient();
+		expect(client.hasIdleConnection(address)).toBe(false);
+		await send(address);
+		expect(duringRequest).toBe(false);
+		await expect.poll(() => client!.hasIdleConnection(address)).toBe(true);
+	});
+
 	it('closes the connection of a cancelled exchange, so that the server can stop processing it', async () => {
 		let resolveClosed: () => void;
 		const closed = new Promise<void>((resolve) => {
--- a/packages/ingress/src/upstream-client.ts
+++ b/packages/ingress/src/upstream-client.ts
@@ -106,6 +106,11 @@
 		return exchange;
 	}
 
+	/** Whether a request to a server can be sent on an open connection. */
+	hasIdleConnection(key: string): boolean {
+		return (this.#pools.get(key)?.stats.free ?? 0) > 0;
+	}
+
 	/** Closes the connections to all servers except those in `keys`, once they are idle. */
 	retain(keys: ReadonlySet<string>): void {
 		for (const [key, pool] of this.#pools) {
--- a/packages/routes/src/document.fixture.ts
+++ b/packages/routes/src/document.fixture.ts
@@ -13,7 +13,7 @@
 	priority: 0,
 	maxAttempts: 2,
 	isResumable: false,
-	hasPrompt: false,
+	hasAffinity: false,
 	keepsTurns: false,
 	retentionMs: 0,
 	...changes,
--- a/packages/routes/src/routing-document.ts
+++ b/packages/routes/src/routing-document.ts
@@ -30,8 +30,11 @@
 	maxAttempts: number;
 	/** Whether an interrupted stream may be resumed on another server after its last event. */
 	isResumable: boolean;
-	/** Whether requests carry a prompt whose parts are cached by servers. */
-	hasPrompt: boolean;
+	/**
+	 * Whether a server is faster at what it has handled recently: prompts that share parts, or requests with
+	 * the same affinity key.
+	 */
+	hasAffinity: boolean;
 	/** Whether the conversation is stored and prepended to the next turn of the program. */
 	keepsTurns: boolean;
 	/** Time for which turns and budgets are retained after their last use. */
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -16,6 +16,9 @@
 export type CallerId = Branded<string, 'CallerId'>;
 /** Identifies an upstream: a model engine or a plain service. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
+
+/** Names the object that a request concerns. */
+export type AffinityKey = Branded<string, 'AffinityKey'>;
 /** Identifies an operator's change and makes it idempotent: a repeated change returns the first outcome. */
 export type OperationId = Branded<string, 'OperationId'>;
 /** Name of an availability zone. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 export type {Branded} from './branded.ts';
 export * from './constants.ts';
 export {
+	type AffinityKey,
 	asId,
 	type CallerId,
 	type DaemonId,
