Answer the requests that a stopping entry daemon has accepted

Cause: at the end of its drain an entry daemon closed idle connections and then stopped its services one after the other, while its listener still accepted connections.

Ruled out: the drain time itself; callers with three times the TTL are gone after 4.5 s of 5.1 s.

Now the listener closes first, connections are closed once they are idle, and the stop waits for the requests in progress until the stop deadline; what is cut then is logged as requests-cut-by-stop.

Tests: ingress-server.test.ts > drain, three cases; the drain of before has no such step to test, its order of calls (closeIdleConnections, stop) cuts the 20 requests of the first case.

--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -28,9 +28,6 @@
 import {StoreService} from './services/store-service.ts';
 import {TurnsService} from './services/turns-service.ts';
 
-/** Interval at which a draining daemon checks whether its requests are finished. */
-const DRAIN_POLL_MS = 50;
-
 /**
  * Longest wait for the drain report, so that an unresponsive parent does not delay the stop. Callers keep
  * the address for a while in any case.
@@ -202,14 +199,16 @@
 		const entry = this.#kernel.get<EntryService>('entry');
 		const {entryDrainMs, stopDeadlineMs} = this.#context.settings.timing;
 		const elapsedMs = () => performance.now() - startedAtMs;
-		while (
-			elapsedMs() < entryDrainMs ||
-			(entry.activeRequests > 0 && elapsedMs() < stopDeadlineMs)
-		) {
-			await sleep(DRAIN_POLL_MS);
+		await sleep(Math.max(0, entryDrainMs - elapsedMs()));
+		const isComplete = await entry.finishRequests(
+			Math.max(0, stopDeadlineMs - elapsedMs()),
+		);
+		if (!isComplete) {
+			this.#context.logger.warn({
+				event: 'requests-cut-by-stop',
+				requests: entry.activeRequests,
+			});
 		}
-
-		entry.closeIdleConnections();
 	}
 }
 
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -105,9 +105,14 @@
 		return this.#upstreams;
 	}
 
-	/** Closes idle connections, so that their callers connect to other daemons. */
-	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+	/**
+	 * Stops accepting connections and answers the requests that have arrived.
+	 *
+	 * @param timeoutMs - longest wait for requests in progress.
+	 * @returns whether all of them were answered in time.
+	 */
+	async finishRequests(timeoutMs: number): Promise<boolean> {
+		return this.#server.drain(timeoutMs);
 	}
 
 	#applyDocument(): void {
--- a/packages/ingress/src/ingress-server.test.ts
+++ b/packages/ingress/src/ingress-server.test.ts
@@ -149,6 +149,77 @@
 		expect(received.endsWith('fine')).toBe(true);
 		expect(received.match(/HTTP\/1\.1/gu)).toHaveLength(1);
 	});
+
+	describe('drain', () => {
+		it('answers the requests that arrived just before, then refuses connections', async () => {
+			// Guards against a planned stop that cuts off requests that had just been accepted.
+			await server.stop();
+			let release: () => void;
+			const released = new Promise<void>((resolve) => {
+				release = resolve;
+			});
+			let accepted = 0;
+			server = new IngressServer({
+				address: '127.0.0.1:0',
+				async onRequest(exchange) {
+					accepted++;
+					if (accepted === 20) {
+						release();
+					}
+
+					await new Promise((resolve) => {
+						setTimeout(resolve, 100);
+					});
+					exchange.respond(200, [], Buffer.from('whole'));
+				},
+			});
+			port = await server.start();
+			const answers = Array.from({length: 20}, async () =>
+				sendRaw(port, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n'),
+			);
+			await released;
+			expect(await server.drain(5000)).toBe(true);
+			for (const answer of await Promise.all(answers)) {
+				expect(answer).toMatch(/^HTTP\/1\.1 200 .*\r\n\r\nwhole$/su);
+			}
+
+			await expect(
+				sendRaw(port, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n'),
+			).rejects.toMatchObject({code: 'ECONNREFUSED'});
+		});
+
+		it('waits for a request whose head is still arriving', async () => {
+			const socket = connect(port, '127.0.0.1');
+			let received = '';
+			socket.on('data', (chunk) => {
+				received += chunk.toString('latin1');
+			});
+			socket.write('GET / HTTP/1.1\r\nHo');
+			await new Promise((resolve) => {
+				setTimeout(resolve, 50);
+			});
+			const drained = server.drain(5000);
+			socket.write('st: a\r\n\r\n');
+			expect(await drained).toBe(true);
+			expect(received).toContain('fine');
+		});
+
+		it('gives up after its time limit', async () => {
+			await server.stop();
+			server = new IngressServer({
+				address: '127.0.0.1:0',
+				onRequest() {
+					// Never answers.
+				},
+			});
+			port = await server.start();
+			const answer = sendRaw(port, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+			await expect.poll(() => server.activeRequests).toBe(1);
+			expect(await server.drain(50)).toBe(false);
+			await server.stop();
+			expect(await answer).toBe('');
+		});
+	});
 });
 
 describe('CallerExchange', () => {
--- a/packages/ingress/src/ingress-server.ts
+++ b/packages/ingress/src/ingress-server.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerLimits} from '@marjoramcove/routes';
 import {CallerExchange} from './caller-exchange.ts';
 import {splitAddress} from './split-address.ts';
@@ -23,6 +24,9 @@
 /** Interval at which connections are checked for timeouts. */
 const CONNECTION_CHECK_MS = 500;
 
+/** Interval at which a draining server closes the connections that have become idle. */
+const DRAIN_CHECK_MS = 50;
+
 /** Maximum size of a request head in the parser; the limit of the routing document is checked in addition. */
 const MAX_PARSER_HEADER_BYTES = 256 * 1024;
 
@@ -50,6 +54,7 @@
  * ```ts
  * const server = new IngressServer({address: '127.0.0.1:0', onRequest: (exchange) => exchange.respond(204, [], Buffer.alloc(0))});
  * const port = await server.start();
+ * await server.drain(2000);
  * await server.stop();
  * ```
  */
@@ -129,9 +134,31 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs;
 	}
 
-	/** Closes the connections without a request in progress. */
-	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+	/**
+	 * Stops listening, answers the requests that have arrived, and closes each connection once it is idle.
+	 *
+	 * @param timeoutMs - longest wait for requests in progress.
+	 * @returns whether all connections ended in time.
+	 */
+	async drain(timeoutMs: number): Promise<boolean> {
+		const closed = new Promise<boolean>((resolve) => {
+			this.#server.close(() => {
+				resolve(true);
+			});
+		});
+		const timer = setInterval(() => {
+			this.#server.closeIdleConnections();
+		}, DRAIN_CHECK_MS);
+		const abort = new AbortController();
+		try {
+			return await Promise.race([
+				closed,
+				sleep(timeoutMs, false, {signal: abort.signal}),
+			]);
+		} finally {
+			clearInterval(timer);
+			abort.abort();
+		}
 	}
 
 	/** Stops listening and closes all connections. */
