Place shards by the number of disks

Cause: four shards whatever the number of disks. A power of two up to the number of disks, spread over zones and disks.

--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -12,4 +12,8 @@
 	type ShardMap,
 	type StoredDocument,
 } from './control-state.ts';
-export {type CandidateDisk, planShardMap} from './plan-shard-map.ts';
+export {
+	type CandidateDisk,
+	deriveShardCount,
+	planShardMap,
+} from './plan-shard-map.ts';
--- a/packages/control-state/src/plan-shard-map.test.ts
+++ b/packages/control-state/src/plan-shard-map.test.ts
@@ -12,7 +12,7 @@
 	it('returns no plan while there are fewer disks than replicas', () => {
 		const disks = [createDisk('a', 1), createDisk('b', 1)];
 		expect(
-			planShardMap({disks, shardCount: 2, replicationFactor: 3}),
+			planShardMap({disks, minShardCount: 2, replicationFactor: 3}),
 		).toBeUndefined();
 	});
 
@@ -21,10 +21,52 @@
 			createDisk(zone, 1),
 			createDisk(zone, 2),
 		]);
-		const shards = planShardMap({disks, shardCount: 6, replicationFactor: 3})!;
+		const shards = planShardMap({
+			disks,
+			minShardCount: 6,
+			replicationFactor: 3,
+		})!;
 		for (const {voters} of shards) {
 			const zones = voters.map(({daemonId}) => daemonId.split('-')[0]);
 			expect(new Set(zones).size).toBe(3);
 		}
 	});
+
+	describe('with many disks', () => {
+		const ZONES = ['a', 'b', 'c', 'd', 'e'];
+		const disks = Array.from({length: 24}, (_, index) =>
+			createDisk(ZONES[index % 5]!, Math.floor(index / 5)),
+		);
+		const shards = planShardMap({
+			disks,
+			minShardCount: 4,
+			replicationFactor: 5,
+		})!;
+
+		it('uses all of them evenly', () => {
+			// Guards against a few disks that carry all commits while the others are idle.
+			const replicasByDisk = new Map<string, number>();
+			for (const {diskId} of shards.flatMap(({voters}) => voters)) {
+				replicasByDisk.set(diskId, (replicasByDisk.get(diskId) ?? 0) + 1);
+			}
+
+			expect(replicasByDisk.size).toBe(24);
+			const average = (shards.length * 5) / 24;
+			expect(Math.max(...replicasByDisk.values())).toBeLessThanOrEqual(
+				Math.ceil(average) + 1,
+			);
+		});
+
+		it('limits the programs that wait for an election when a leader is lost', () => {
+			// Guards against the loss of one disk that delays a quarter of all programs.
+			expect(1 / shards.length).toBeLessThanOrEqual(1 / 16);
+		});
+
+		it('places one replica of each shard in each zone, also where zones have fewer disks', () => {
+			for (const {voters} of shards) {
+				const zones = voters.map(({daemonId}) => daemonId.split('-')[0]);
+				expect(new Set(zones).size).toBe(5);
+			}
+		});
+	});
 });
--- a/packages/control-state/src/plan-shard-map.ts
+++ b/packages/control-state/src/plan-shard-map.ts
@@ -12,7 +12,8 @@
 /** Inputs of the initial shard placement. */
 export type PlanShardMapInput = {
 	disks: readonly CandidateDisk[];
-	shardCount: number;
+	/** Least number of shards; a deployment with more disks gets more. */
+	minShardCount: number;
 	/** Number of durable replicas of each shard. */
 	replicationFactor: number;
 };
@@ -39,6 +40,63 @@
 	return interleaved;
 };
 
+/** Larger than any number of replicas on a disk, so that the zone decides before the disk. */
+const RANK_STEP = 1000;
+
+/** Places replicas one by one, each in a zone with the fewest replicas of its shard. */
+class ReplicaPlacer {
+	readonly #disks: readonly CandidateDisk[];
+	readonly #replicasByDisk = new Map<DiskId, number>();
+
+	constructor(disks: readonly CandidateDisk[]) {
+		this.#disks = disks;
+	}
+
+	/** Picks the disks of one shard; within a zone, one with the fewest replicas of all shards. */
+	placeShard(replicationFactor: number): ShardAssignment['voters'] {
+		const remaining = new Set(this.#disks);
+		const pickedByZone = new Map<string, number>();
+		return Array.from({length: replicationFactor}, () => {
+			const rank = ({zone, diskId}: CandidateDisk) =>
+				(pickedByZone.get(zone) ?? 0) * RANK_STEP +
+				(this.#replicasByDisk.get(diskId) ?? 0);
+			const [disk] = [...remaining].toSorted((a, b) => rank(a) - rank(b));
+			const {daemonId, diskId, zone} = disk!;
+			remaining.delete(disk!);
+			pickedByZone.set(zone, (pickedByZone.get(zone) ?? 0) + 1);
+			this.#replicasByDisk.set(
+				diskId,
+				(this.#replicasByDisk.get(diskId) ?? 0) + 1,
+			);
+			return {daemonId, diskId};
+		});
+	}
+}
+
+/** Maximum number of shards; each one costs its replicas heartbeats even when it is idle. */
+const MAX_SHARD_COUNT = 64;
+
+/**
+ * Derives the number of shards: a power of two that grows with the disks, so that commits are spread over
+ * them and the loss of one leader delays few programs.
+ *
+ * @example
+ * ```ts
+ * deriveShardCount({diskCount: 24, minShardCount: 4}); // 16
+ * ```
+ */
+export const deriveShardCount = ({
+	diskCount,
+	minShardCount,
+}: {
+	diskCount: number;
+	minShardCount: number;
+}): number =>
+	Math.max(
+		minShardCount,
+		Math.min(MAX_SHARD_COUNT, 2 ** Math.floor(Math.log2(diskCount))),
+	);
+
 /**
  * Computes the initial shard placement. Shards are spread evenly over the disks, with the replicas of a
  * shard in different zones if there are enough zones.
@@ -46,25 +104,22 @@
  * @returns `undefined` if there are fewer disks than replicas per shard.
  * @example
  * ```ts
- * const shards = planShardMap({disks, shardCount: 4, replicationFactor: 3});
+ * const shards = planShardMap({disks, minShardCount: 4, replicationFactor: 3});
  * ```
  */
 export const planShardMap = ({
 	disks,
-	shardCount,
+	minShardCount,
 	replicationFactor,
 }: PlanShardMapInput): ShardAssignment[] | undefined => {
 	if (disks.length < replicationFactor) {
 		return undefined;
 	}
 
-	const interleaved = interleaveZones(disks);
+	const placer = new ReplicaPlacer(interleaveZones(disks));
+	const shardCount = deriveShardCount({diskCount: disks.length, minShardCount});
 	return Array.from({length: shardCount}, (_, shard) => ({
 		groupId: asId<GroupId>(`shard-${shard}`),
-		voters: Array.from({length: replicationFactor}, (_unused, replica) => {
-			const {daemonId, diskId} =
-				interleaved[(shard + replica) % interleaved.length]!;
-			return {daemonId, diskId};
-		}),
+		voters: placer.placeShard(replicationFactor),
 	}));
 };
--- a/packages/gateway/src/choose-entry-addresses.test.ts
+++ b/packages/gateway/src/choose-entry-addresses.test.ts
@@ -31,7 +31,10 @@
 	];
 
 	it('returns only addresses in the zone of the caller if it has two daemons', () => {
-		expect(chooseEntryAddresses(entries, 'a', random)).toEqual(['a1:80', 'a2:80']);
+		expect(chooseEntryAddresses(entries, 'a', random)).toEqual([
+			'a1:80',
+			'a2:80',
+		]);
 	});
 
 	it('returns all addresses if the zone has only one daemon or is not specified', () => {
--- a/packages/gateway/src/derive-timing.ts
+++ b/packages/gateway/src/derive-timing.ts
@@ -47,22 +47,22 @@
 	};
 };
 
-/** Number of shards of a new deployment; a power of two spreads evenly over any small number of disks. */
-const SHARD_COUNT = 4;
+/** Least number of shards; a power of two spreads evenly over any small number of disks. */
+const MIN_SHARD_COUNT = 4;
 
 /**
  * Derives the replication settings that tolerate the simultaneous loss of any `lostDisks` disks.
  *
  * @example
  * ```ts
- * deriveReplication({lostDisks: 1}); // {factor: 3, shardCount: 4}
+ * deriveReplication({lostDisks: 1}); // {factor: 3, minShardCount: 4}
  * ```
  */
 export const deriveReplication = ({
 	lostDisks,
 }: {
 	lostDisks: number;
-}): {factor: number; shardCount: number} => ({
+}): {factor: number; minShardCount: number} => ({
 	factor: 2 * Math.max(1, lostDisks) + 1,
-	shardCount: SHARD_COUNT,
+	minShardCount: MIN_SHARD_COUNT,
 });
--- a/packages/gateway/src/describe-deployment.test.ts
+++ b/packages/gateway/src/describe-deployment.test.ts
@@ -45,7 +45,7 @@
 	seeds: [],
 	isFirstFormation: false,
 	listen: {},
-	replication: {factor: 3, shardCount: 1},
+	replication: {factor: 3, minShardCount: 1},
 	timing: DEFAULT_GATEWAY_TIMING,
 	logs: {level: 'info', destination: 'stdout'},
 };
--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -127,7 +127,7 @@
 	seeds: [],
 	isFirstFormation: false,
 	listen: {},
-	replication: {factor: 1, shardCount: 1},
+	replication: {factor: 1, minShardCount: 1},
 	timing: DEFAULT_GATEWAY_TIMING,
 	logs: {level: 'error', destination: '/dev/null'},
 };
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -54,7 +54,8 @@
 	replication: {
 		/** Number of durable replicas of each program shard. */
 		factor: number;
-		shardCount: number;
+		/** Least number of program shards; more disks get more. */
+		minShardCount: number;
 	};
 	timing: GatewayTiming;
 	logs: {level: LogLevel; destination: string};
--- a/packages/gateway/src/services/settings-service.test.ts
+++ b/packages/gateway/src/services/settings-service.test.ts
@@ -17,7 +17,7 @@
 	seeds: seeds.map((seed) => asId<DaemonId>(seed)),
 	isFirstFormation: false,
 	listen: {},
-	replication: {factor: 3, shardCount: 4},
+	replication: {factor: 3, minShardCount: 4},
 	timing: DEFAULT_GATEWAY_TIMING,
 	logs: {level: 'error', destination: 'stderr'},
 });
--- a/packages/gateway/src/services/shard-planner-service.ts
+++ b/packages/gateway/src/services/shard-planner-service.ts
@@ -54,8 +54,12 @@
 			this.#diskDiscovery = {count: disks.length, sinceMs: nowMs};
 		}
 
-		const {factor, shardCount} = this.#context.settings.replication;
-		const shards = planShardMap({disks, shardCount, replicationFactor: factor});
+		const {factor, minShardCount} = this.#context.settings.replication;
+		const shards = planShardMap({
+			disks,
+			minShardCount,
+			replicationFactor: factor,
+		});
 		if (!shards || nowMs - this.#diskDiscovery.sinceMs < DISK_DISCOVERY_MS) {
 			return;
 		}
