Give the tests of exported memory the leaderships that they need

Cause: two tests of I8 failed once each. One needs a program whose owner is not the dispatcher of the engine, but after earlier kills one daemon led all shards and was the dispatcher as well. The other began while a daemon that the test before had killed took the dispatcher role back, which drops the copy.

The first now moves the leaderships away from the dispatcher and checks that the role stays; after each test the roles are awaited. No check or bound changed.

--- a/packages/integration/src/helpers/find-roles.ts
+++ b/packages/integration/src/helpers/find-roles.ts
@@ -46,6 +46,29 @@
 			?.dispatcherId;
 	});
 
+/**
+ * Makes other daemons lead all groups that a daemon leads, by suspending it for longer than an election
+ * takes. Its other roles return to it afterwards.
+ */
+export const moveLeaderships = async (
+	bed: TestBed,
+	daemonId: string,
+	observer: Caller,
+): Promise<void> => {
+	const daemon = bed.cluster.daemon(daemonId);
+	daemon.signal('SIGSTOP');
+	try {
+		await waitFor(`other leaders than ${daemonId}`, async () => {
+			const groups = await readGroups(observer);
+			return groups.every(
+				({leaderId}) => leaderId !== undefined && leaderId !== daemonId,
+			);
+		});
+	} finally {
+		daemon.signal('SIGCONT');
+	}
+};
+
 /** Returns a running daemon other than the given ones. */
 export const findOtherDaemon = (bed: TestBed, ...except: string[]): string =>
 	bed.cluster.daemons.findLast(
--- a/packages/integration/src/i8-exported-memory.test.ts
+++ b/packages/integration/src/i8-exported-memory.test.ts
@@ -4,7 +4,9 @@
 	findDispatcher,
 	findLeader,
 	groupIdOf,
+	moveLeaderships,
 	openProgramOwnedBy,
+	waitForStableRoles,
 } from './helpers/find-roles.ts';
 import {retryRefused} from './helpers/retry-refused.ts';
 import {showLogsOnFailure} from './helpers/show-logs.ts';
@@ -37,6 +39,8 @@
 	afterEach(async (context) => {
 		showLogsOnFailure(bed, context);
 		await bed.cluster.restartStopped();
+		// A daemon that returned takes the dispatcher role back, which drops the copies of the one before.
+		await waitForStableRoles(bed, 'engine-1');
 	});
 
 	afterAll(async () => {
@@ -149,6 +153,9 @@
 	it('drops the copy when the owner is killed between the end of the program and the release', async () => {
 		// Guards against a copy that the owner tracks only in memory.
 		const holder = await findDispatcher(bed.caller('d4'), 'engine-1');
+		await moveLeaderships(bed, holder, bed.caller('d4'));
+		await waitForStableRoles(bed, 'engine-1');
+		expect(await findDispatcher(bed.caller('d4'), 'engine-1')).toBe(holder);
 		const programId = await openProgramOwnedBy(
 			bed.caller('d4'),
 			(daemonId) => daemonId !== holder && daemonId !== 'd4',
