Send the member list as changes

Ruled out: changes in the reports of entries (sequence and document version are not published).

A control daemon keeps the differences of its last 64 lists; an answer holds the changes since the caller's stamp with a digest of the result.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,11 @@
 export {chooseParent, type ChooseParentInput} from './choose-parent.ts';
+export {
+	applyMemberChanges,
+	digestMembers,
+	type MemberChanges,
+	MemberHistory,
+	type MemberList,
+} from './member-history.ts';
 export type {
 	FleetMember,
 	FleetRole,
--- a/packages/fleet/src/membership-table.ts
+++ b/packages/fleet/src/membership-table.ts
@@ -24,8 +24,15 @@
 	version: 0,
 });
 
-/** Serializes the published fields; sequence and document version are omitted because they change often. */
-const serializePublishedFields = ({
+/**
+ * Serializes the published fields; sequence and document version are omitted because they change often.
+ *
+ * @example
+ * ```ts
+ * const isChanged = serializePublishedFields(before) !== serializePublishedFields(after);
+ * ```
+ */
+export const serializePublishedFields = ({
 	sequence: _sequence,
 	documentVersion: _documentVersion,
 	...visible
--- a/packages/gateway/src/entry/faulty-servers.test.ts
+++ b/packages/gateway/src/entry/faulty-servers.test.ts
@@ -57,7 +57,8 @@
 			async (kind) => {
 				// Guards against an answer that belongs to another request.
 				await startWithLateCopies(kind);
-				expect((await fixture!.send('r1')).body).toBe('own 1');
+				const first = await fixture!.send('r1');
+				expect(first.body).toBe('own 1');
 				const second = await fixture!.send('r2');
 				expect(second.status).toBe(502);
 				expect(second.verdict).toBe('may-have-run');
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -1,8 +1,13 @@
 import type {ShardMap, StoredDocument} from '@marjoramcove/control-state';
 import {
+	applyMemberChanges,
+	compareStamps,
 	type FleetMember,
 	type FleetRole,
 	isNewer,
+	type MemberChanges,
+	MemberHistory,
+	type MemberList,
 	type Stamp,
 } from '@marjoramcove/fleet';
 import type {ListedServer} from '@marjoramcove/inventory';
@@ -13,12 +18,15 @@
 
 /** The topics of a view; the version of each topic only increases. */
 export type FleetTopics = {
-	members?: StampedList<FleetMember>;
+	members?: MemberList;
 	servers?: StampedList<ListedServer>;
 	document?: StoredDocument;
 	shardMap?: ShardMap;
 };
 
+/** Topics that a view lacks; the members are sent as changes where the sender knows them. */
+export type TopicUpdate = FleetTopics & {memberChanges?: MemberChanges};
+
 /** Change that listeners are notified of; a confirmation carries no data of its own. */
 export type FleetTopic = keyof FleetTopics | 'confirmation';
 
@@ -40,6 +48,14 @@
 	leaderId: DaemonId | undefined;
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #listeners = new Set<(topic: FleetTopic) => void>();
+	readonly #history: MemberHistory | undefined;
+	/** Whether the known members turned out to differ from those of other daemons under the same stamp. */
+	#needsAllMembers = false;
+
+	/** @param options.keepsHistory - whether other daemons take their view from this one. */
+	constructor({keepsHistory = false} = {}) {
+		this.#history = keepsHistory ? new MemberHistory() : undefined;
+	}
 
 	/** Monotonic time at which a quorum last confirmed that there was no newer document. */
 	get confirmedAtMs(): number {
@@ -57,7 +73,7 @@
 	get position(): ViewPosition {
 		const {members, servers, document, shardMap} = this.topics;
 		return {
-			members: members?.stamp,
+			members: this.#needsAllMembers ? undefined : members?.stamp,
 			servers: servers?.stamp,
 			documentVersion: document?.version ?? 0,
 			shardMapVersion: shardMap?.version ?? 0,
@@ -96,13 +112,19 @@
 		}
 	}
 
-	/** Adopts the topics that are newer than the known ones and ignores the others. */
-	merge(topics: FleetTopics): void {
-		const {members, servers, document, shardMap} = topics;
+	/**
+	 * Adopts the topics that are newer than the known ones and ignores the others.
+	 *
+	 * @returns whether changes of the members did not fit, so that the whole list is needed.
+	 */
+	merge(update: TopicUpdate): {isDiverged: boolean} {
+		const {members, memberChanges, servers, document, shardMap} = update;
 		const known = this.position;
-		if (members && isNewer(members.stamp, known.members)) {
-			this.topics.members = members;
-			this.#notify('members');
+		const isDiverged = memberChanges
+			? !this.#mergeMemberChanges(memberChanges)
+			: false;
+		if (members) {
+			this.#mergeMembers(members);
 		}
 
 		if (servers && isNewer(servers.stamp, known.servers)) {
@@ -119,13 +141,17 @@
 			this.topics.shardMap = shardMap;
 			this.#notify('shardMap');
 		}
+
+		return {isDiverged};
 	}
 
 	/** Returns the topics that a view at this position lacks; `undefined` if it lacks none. */
-	topicsNewerThan(position: ViewPosition): FleetTopics | undefined {
+	topicsNewerThan(position: ViewPosition): TopicUpdate | undefined {
 		const {members, servers, document, shardMap} = this.topics;
-		const newer: FleetTopics = {
-			...(members && isNewer(members.stamp, position.members) && {members}),
+		const newer: TopicUpdate = {
+			...(members &&
+				isNewer(members.stamp, position.members) &&
+				this.#membersSince(position.members, members)),
 			...(servers && isNewer(servers.stamp, position.servers) && {servers}),
 			...(document &&
 				document.version > position.documentVersion && {document}),
@@ -135,6 +161,49 @@
 		return Object.keys(newer).length > 0 ? newer : undefined;
 	}
 
+	#membersSince(
+		since: Stamp | undefined,
+		members: MemberList,
+	): Pick<TopicUpdate, 'memberChanges' | 'members'> {
+		const memberChanges = since && this.#history?.changesSince(since, members);
+		return memberChanges ? {memberChanges} : {members};
+	}
+
+	#mergeMembers(members: MemberList): void {
+		const known = this.topics.members;
+		const order = known ? compareStamps(members.stamp, known.stamp) : 1;
+		if (order < 0 || (order === 0 && !this.#needsAllMembers)) {
+			return;
+		}
+
+		this.#history?.record(known, members);
+		this.#needsAllMembers = false;
+		this.topics.members = members;
+		this.#notify('members');
+	}
+
+	/** @returns `false` if the changes are based on the known members but yield a list with another digest. */
+	#mergeMemberChanges(changes: MemberChanges): boolean {
+		const known = this.topics.members;
+		if (
+			!known ||
+			!isNewer(changes.stamp, known.stamp) ||
+			compareStamps(changes.base, known.stamp) !== 0
+		) {
+			// An answer to an earlier position; the next one fits the present position.
+			return true;
+		}
+
+		const members = applyMemberChanges(known, changes);
+		if (!members) {
+			this.#needsAllMembers = true;
+			return false;
+		}
+
+		this.#mergeMembers(members);
+		return true;
+	}
+
 	#notify(topic: FleetTopic): void {
 		for (const listener of this.#listeners) {
 			listener(topic);
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -50,7 +50,9 @@
 		metrics,
 		incarnation: asId<IncarnationId>(randomUUID()),
 		phase: 'starting',
-		view: new FleetView(),
+		view: new FleetView({
+			keepsHistory: dependencies.settings.role === 'control',
+		}),
 		refusals: metrics.counter(
 			'marjoramcove_refusals_total',
 			'Refused requests by reason.',
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -5,7 +5,7 @@
 import type {FleetMember} from '@marjoramcove/fleet';
 import type {UpstreamId} from '@marjoramcove/types';
 import * as z from 'zod';
-import type {FleetTopics} from './fleet-view.ts';
+import type {TopicUpdate} from './fleet-view.ts';
 
 const stampSchema = z.object({term: z.number(), sequence: z.number()});
 
@@ -38,7 +38,7 @@
 	leaderId?: string;
 	/** Age of the last quorum confirmation; absent if there was none. */
 	confirmedAgeMs?: number;
-	topics?: FleetTopics;
+	topics?: TopicUpdate;
 };
 
 const bytesSchema = z.instanceof(Uint8Array);
--- a/packages/gateway/src/services/fleet-service.ts
+++ b/packages/gateway/src/services/fleet-service.ts
@@ -308,7 +308,16 @@
 		const {view, settings, logger} = this.#context;
 		if (output.topics) {
 			const before = view.position;
-			view.merge(output.topics);
+			const {isDiverged} = view.merge(output.topics);
+			if (isDiverged) {
+				logger.warn({
+					event: 'members-diverged',
+					peer: this.#parentId,
+					membersTerm: before.members?.term,
+					membersSequence: before.members?.sequence,
+				});
+			}
+
 			const after = view.position;
 			logger.info({
 				event: 'view-updated',
