--- a/packages/control-state/src/plan-shard-map.ts
+++ b/packages/control-state/src/plan-shard-map.ts
@@ -73,16 +73,19 @@
 	}
 }
 
-/** Maximum number of shards; each one costs its replicas heartbeats even when it is idle. */
+/** Maximum number of shards. */
 const MAX_SHARD_COUNT = 64;
 
+/** Disks for each shard; each shard costs its replicas heartbeats even when it is idle. */
+const DISKS_PER_SHARD = 4;
+
 /**
  * Derives the number of shards: a power of two that grows with the disks, so that commits are spread over
- * them and the loss of one leader delays few programs.
+ * them.
  *
  * @example
  * ```ts
- * deriveShardCount({diskCount: 24, minShardCount: 4}); // 16
+ * deriveShardCount({diskCount: 64, minShardCount: 4}); // 16
  * ```
  */
 export const deriveShardCount = ({
@@ -94,7 +97,10 @@
 }): number =>
 	Math.max(
 		minShardCount,
-		Math.min(MAX_SHARD_COUNT, 2 ** Math.floor(Math.log2(diskCount))),
+		Math.min(
+			MAX_SHARD_COUNT,
+			2 ** Math.floor(Math.log2(diskCount / DISKS_PER_SHARD)),
+		),
 	);
 
 /**
