--- a/packages/balancer/src/affinity-ranking.test.ts
+++ b/packages/balancer/src/affinity-ranking.test.ts
@@ -148,8 +148,6 @@
 			arrivedAtMs: index * 2.5,
 		}));
 		const latencies = play(jobs, 3, true);
-		expect(Math.max(...latencies.slice(500))).toBeLessThan(
-			2 * WORK_MS,
-		);
+		expect(Math.max(...latencies.slice(500))).toBeLessThan(2 * WORK_MS);
 	});
 });
