Log which document routed a request and how old its confirmation was

Cause: the logs of an entry daemon could not tell an entry that had not applied a document from one whose parent had no newer one: request-finished named the version in force at the end of the request, not the one that routed it, and parent-found did not say how old the confirmation of the new parent was.

Change: request-finished has the version that routed the request and confirmedAgeMs, parent-found has confirmedAgeMs.

--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -317,8 +317,9 @@
 		request: RequestContext | undefined,
 		outcome: RequestOutcome,
 	): void {
-		const {stages, logger} = this.#context;
-		const durationMs = performance.now() - exchange.receivedAtMs;
+		const {stages, logger, view} = this.#context;
+		const nowMs = performance.now();
+		const durationMs = nowMs - exchange.receivedAtMs;
 		const route = request?.route.name;
 		const progress = Object.entries(request?.progress ?? {});
 		logger.info({
@@ -326,7 +327,11 @@
 			request: head.requestId,
 			program: head.programId,
 			route,
-			documentVersion: this.#table?.document.version,
+			documentVersion:
+				request?.documentVersion ?? this.#table?.document.version,
+			confirmedAgeMs: Number.isFinite(view.confirmedAtMs)
+				? Math.round(nowMs - view.confirmedAtMs)
+				: undefined,
 			status: outcome.status,
 			reason: outcome.reason,
 			server: outcome.serverId,
--- a/packages/gateway/src/services/fleet-service.ts
+++ b/packages/gateway/src/services/fleet-service.ts
@@ -247,7 +247,7 @@
 				input,
 				{timeoutMs: waitMs + SYNC_MARGIN_MS, channel: 'control'},
 			);
-			this.#setParent(parentId);
+			this.#setParent(parentId, output);
 			this.#applySyncOutput(output, sentAtMs);
 			return true;
 		} catch (error) {
@@ -296,11 +296,15 @@
 		});
 	}
 
-	#setParent(parentId: DaemonId): void {
+	#setParent(parentId: DaemonId, {confirmedAgeMs}: SyncOutput): void {
 		if (this.#parentId !== parentId) {
 			this.#parentId = parentId;
 			this.#parentSinceMs = performance.now();
-			this.#context.logger.info({event: 'parent-found', peer: parentId});
+			this.#context.logger.info({
+				event: 'parent-found',
+				peer: parentId,
+				confirmedAgeMs,
+			});
 		}
 	}
 
