Look for a parent with a current confirmation in all zones

Callers of an entry daemon got the routes of an outdated document for up to 7.5 s after a newer one had been acknowledged: removed routes served, added ones refused with 404, requests sent to the service of before.

Cause: a daemon left a parent that was cut off from the leader only after being with it for 2 s, skipped it for 1.5 s, and preferred control daemons in its own zone. With both control daemons of a zone cut off, each one's backoff ended before the other one was given up, so that the daemon alternated between the two until its lease of 10 s ended. It never asked the other zones, although it could reach them. Class: a retry order without memory of what was tried.

Change: ParentSelector remembers which control daemons answered without a current confirmation since there was one, and asks all others first, without a wait; while none has one, another one is asked every 600 ms.

--- a/packages/fleet/src/choose-parent.ts
+++ b/packages/fleet/src/choose-parent.ts
@@ -14,6 +14,8 @@
 	leaderId: DaemonId | undefined;
 	/** Times until which failed daemons are skipped. */
 	failedUntilMs: ReadonlyMap<DaemonId, number>;
+	/** Times at which daemons responded without a current confirmation from the leader. */
+	staleAtMs?: ReadonlyMap<DaemonId, number>;
 	nowMs: number;
 	/** Returns a uniformly distributed number in [0, 1). */
 	random: () => number;
@@ -26,8 +28,9 @@
 
 /**
  * Chooses the control daemon to report to. A control daemon reports to the leader, if known. Other
- * daemons prefer a control daemon in their own zone, then any known one, then a seed. If all candidates
- * failed recently, one of them is returned anyway so that the daemon keeps trying.
+ * daemons prefer a control daemon in their own zone, then any known one, then a seed. Those without a
+ * current confirmation are chosen only when there are no others, the one that was asked longest ago first.
+ * If all candidates failed recently, one of them is returned anyway so that the daemon keeps trying.
  *
  * @returns `undefined` if no other control daemon is known.
  * @example
@@ -39,8 +42,10 @@
 	input: ChooseParentInput,
 ): DaemonId | undefined => {
 	const {selfId, members, seeds, leaderId, nowMs, random} = input;
-	const isUsable = (id: DaemonId) =>
+	const staleAtMs = input.staleAtMs ?? new Map<DaemonId, number>();
+	const isReachable = (id: DaemonId) =>
 		id !== selfId && (input.failedUntilMs.get(id) ?? 0) <= nowMs;
+	const isUsable = (id: DaemonId) => isReachable(id) && !staleAtMs.has(id);
 	if (
 		input.role === 'control' &&
 		leaderId !== undefined &&
@@ -69,10 +74,15 @@
 		}
 	}
 
-	return pickRandom(
-		[...new Set([...idsOf(controlDaemons), ...seeds])].filter(
-			(id) => id !== selfId,
-		),
-		random,
+	const all = [...new Set([...idsOf(controlDaemons), ...seeds])];
+	const [longestStale] = all
+		.filter((id) => isReachable(id))
+		.toSorted((a, b) => staleAtMs.get(a)! - staleAtMs.get(b)!);
+	return (
+		longestStale ??
+		pickRandom(
+			all.filter((id) => id !== selfId),
+			random,
+		)
 	);
 };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,3 @@
-export {chooseParent, type ChooseParentInput} from './choose-parent.ts';
 export {
 	applyMemberChanges,
 	digestMembers,
@@ -20,4 +19,10 @@
 	recordReport,
 	removeExpiredMembers,
 } from './membership-table.ts';
+export {
+	type KnownControlDaemons,
+	type ParentChange,
+	ParentSelector,
+	type ParentSelectorOptions,
+} from './parent-selector.ts';
 export {compareStamps, isNewer, type Stamp} from './stamp.ts';
--- a/packages/gateway/src/services/fleet-service.ts
+++ b/packages/gateway/src/services/fleet-service.ts
@@ -1,11 +1,11 @@
 import {messageOf, reasonOf} from '@marjoramcove/errors';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	chooseParent,
 	createMembershipTable,
 	type FleetMember,
 	type GroupLeadership,
 	type MembershipTable,
+	ParentSelector,
 	recordReport,
 	removeExpiredMembers,
 } from '@marjoramcove/fleet';
@@ -18,9 +18,6 @@
 /** Time beyond the requested wait after which a sync is considered failed. */
 const SYNC_MARGIN_MS = 700;
 
-/** Time for which a failed parent is skipped. */
-const FAILED_PARENT_BACKOFF_MS = 1500;
-
 const RETRY_DELAY_MS = 100;
 
 /** Fields of the report that other services of the daemon set. */
@@ -41,17 +38,22 @@
 	/** Tells whether this daemon leads the configuration group; set by the control service. */
 	#leadership: {readonly isLeader: boolean} | undefined;
 	readonly #context: GatewayContext;
-	readonly #failedUntilMs = new Map<DaemonId, number>();
+	readonly #parents: ParentSelector;
 	#peers!: PeersService;
 	#sequence = 0;
-	#parentId: DaemonId | undefined;
-	#parentSinceMs = 0;
 	#isStopped = false;
 	#isReporting = false;
 
 	constructor(context: GatewayContext) {
 		super();
 		this.#context = context;
+		const {daemonId, zone, role, timing} = context.settings;
+		this.#parents = new ParentSelector({
+			selfId: daemonId,
+			zone,
+			role,
+			maxConfirmedAgeMs: timing.memberTimeoutMs,
+		});
 	}
 
 	override get name() {
@@ -75,7 +77,7 @@
 
 	/** The control daemon that this one reports to; `undefined` while none is found. */
 	get parentId(): DaemonId | undefined {
-		return this.#parentId;
+		return this.#parents.parentId;
 	}
 
 	get isLeader(): boolean {
@@ -226,14 +228,25 @@
 	}
 
 	/** @returns whether a parent responded. */
-	async #syncOnce(waitMs: number): Promise<boolean> {
+	async #syncOnce(longestWaitMs: number): Promise<boolean> {
 		const {settings, view, logger} = this.#context;
-		const parentId = this.#chooseParent();
+		const parentId = this.#parents.choose(
+			{
+				seeds: settings.seeds,
+				members: view.members,
+				leaderId: view.leaderId,
+			},
+			performance.now(),
+		);
 		if (parentId === undefined) {
 			return false;
 		}
 
 		const sentAtMs = performance.now();
+		// A candidate answers at once, so that one without a confirmation costs no time.
+		const isCandidate =
+			settings.role !== 'control' && parentId !== this.parentId;
+		const waitMs = isCandidate ? 0 : longestWaitMs;
 		const input: SyncInput = {
 			report: this.#createReport(),
 			children: settings.role === 'control' ? this.#listChildReports() : [],
@@ -247,16 +260,11 @@
 				input,
 				{timeoutMs: waitMs + SYNC_MARGIN_MS, channel: 'control'},
 			);
-			this.#setParent(parentId, output);
-			this.#applySyncOutput(output, sentAtMs);
+			this.#recordResponse(parentId, output);
+			this.#applySyncOutput(parentId, output, sentAtMs);
 			return true;
 		} catch (error) {
-			this.#failedUntilMs.set(
-				parentId,
-				performance.now() + FAILED_PARENT_BACKOFF_MS,
-			);
-			if (this.#parentId === parentId) {
-				this.#parentId = undefined;
+			if (this.#parents.recordFailure(parentId, performance.now())) {
 				logger.warn({
 					event: 'parent-lost',
 					peer: parentId,
@@ -269,46 +277,27 @@
 		}
 	}
 
-	#chooseParent(): DaemonId | undefined {
-		const {settings, view} = this.#context;
+	#recordResponse(parentId: DaemonId, {confirmedAgeMs}: SyncOutput): void {
+		const {logger} = this.#context;
 		const nowMs = performance.now();
-		const current = this.#parentId;
-		const mayKeepParent =
-			settings.role !== 'control' || current === view.leaderId;
-		if (
-			current !== undefined &&
-			mayKeepParent &&
-			(this.#failedUntilMs.get(current) ?? 0) <= nowMs
-		) {
-			return current;
-		}
-
-		return chooseParent({
-			selfId: settings.daemonId,
-			zone: settings.zone,
-			role: settings.role,
-			seeds: settings.seeds,
-			members: view.members,
-			leaderId: view.leaderId,
-			failedUntilMs: this.#failedUntilMs,
+		const change = this.#parents.recordResponse(
+			parentId,
+			confirmedAgeMs,
 			nowMs,
-			random: Math.random,
-		});
-	}
-
-	#setParent(parentId: DaemonId, {confirmedAgeMs}: SyncOutput): void {
-		if (this.#parentId !== parentId) {
-			this.#parentId = parentId;
-			this.#parentSinceMs = performance.now();
-			this.#context.logger.info({
-				event: 'parent-found',
-				peer: parentId,
-				confirmedAgeMs,
-			});
+		);
+		const details = {peer: parentId, confirmedAgeMs};
+		if (change === 'found') {
+			logger.info({event: 'parent-found', ...details});
+		} else if (change === 'stale') {
+			logger.warn({event: 'parent-stale', ...details});
 		}
 	}
 
-	#applySyncOutput(output: SyncOutput, sentAtMs: number): void {
+	#applySyncOutput(
+		parentId: DaemonId,
+		output: SyncOutput,
+		sentAtMs: number,
+	): void {
 		const {view, settings, logger} = this.#context;
 		if (output.topics) {
 			const before = view.position;
@@ -316,7 +305,7 @@
 			if (isDiverged) {
 				logger.warn({
 					event: 'members-diverged',
-					peer: this.#parentId,
+					peer: parentId,
 					membersTerm: before.members?.term,
 					membersSequence: before.members?.sequence,
 				});
@@ -345,28 +334,6 @@
 		// A control daemon knows the leader from its own replica.
 		if (settings.role !== 'control') {
 			view.leaderId = output.leaderId as DaemonId | undefined;
-			this.#dropStaleParent(output);
-		}
-	}
-
-	/** Abandons a parent that cannot forward confirmations because it is disconnected from the leader. */
-	#dropStaleParent({confirmedAgeMs}: SyncOutput): void {
-		const {memberTimeoutMs} = this.#context.settings.timing;
-		const isStale = (confirmedAgeMs ?? Infinity) > memberTimeoutMs;
-		// Right after a restart of all control daemons, no parent has a confirmation yet.
-		const isEstablished =
-			performance.now() - this.#parentSinceMs > memberTimeoutMs;
-		if (isStale && isEstablished && this.#parentId !== undefined) {
-			this.#failedUntilMs.set(
-				this.#parentId,
-				performance.now() + FAILED_PARENT_BACKOFF_MS,
-			);
-			this.#context.logger.warn({
-				event: 'parent-stale',
-				peer: this.#parentId,
-				confirmedAgeMs,
-			});
-			this.#parentId = undefined;
 		}
 	}
 }
