Give the sync tests virtual time for every wait

Cause: in the gateway package run, 'takes another parent when its own does not respond' failed once: the fixture left the promise-based timer real, and the parent of the first sync was drawn from three seeds, so the test passed or failed by that draw.

Change: the promise-based timer runs on virtual time and the only seed is in the zone of the daemon; checks and bounds are unchanged.

--- a/packages/gateway/src/services/fleet-service.test.ts
+++ b/packages/gateway/src/services/fleet-service.test.ts
@@ -12,6 +12,14 @@
 import type {SyncInput, SyncOutput} from '../peer-messages.ts';
 import {FleetService} from './fleet-service.ts';
 
+// Fake timers do not replace the promise-based ones.
+vi.mock('node:timers/promises', () => ({
+	setTimeout: async (durationMs: number) =>
+		new Promise((resolve) => {
+			globalThis.setTimeout(resolve, durationMs);
+		}),
+}));
+
 /** Time within which a daemon must have the configuration of the majority, from the cut. */
 const MAX_CATCH_UP_MS = 3000;
 
@@ -37,7 +45,7 @@
 	daemonId: daemonId('entry-1'),
 	role: 'entry',
 	zone: 'a',
-	seeds: [daemonId('a1'), daemonId('b1'), daemonId('c1')],
+	seeds: [daemonId('a1')],
 	isFirstFormation: false,
 	listen: {},
 	replication: {factor: 5, minShardCount: 4},
