Share the request rate that a server states among the entry daemons

Cause: Server-Limit was not decoded; nothing in the product knew a rate limit. Class: a limit on what all daemons do together, where each of them only sees its own requests.

Change: RateShare divides the rate among the first entry daemons of the server's rendezvous ranking, each of which sends at most one request per interval without accumulating permits. Statements go to the other entry daemons with the load exchange. Requests go to other servers first; when all are limited, they wait up to a quarter of their time for a permit or are refused at once, as not run, with the time of the next permit.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -27,3 +27,10 @@
 export {DurationAverages} from './duration-averages.ts';
 export {AffinityRanking} from './affinity-ranking.ts';
 export {deriveExchangeIntervalMs} from './derive-exchange-interval.ts';
+export {DaemonRanking} from './daemon-ranking.ts';
+export {RateShare, type RateStatement} from './rate-share.ts';
+export {
+	type ReportedRate,
+	type ReportedRates,
+	RateStatements,
+} from './rate-statements.ts';
--- a/packages/balancer/src/placement.test.ts
+++ b/packages/balancer/src/placement.test.ts
@@ -40,35 +40,35 @@
 	it('counts a request until it has ended', () => {
 		const placement = createPlacement();
 		const load = send(placement, 'p1', 0);
-		expect(placement.takeUpdate().inFlight).toEqual({s1: 1});
+		expect(placement.takeUpdate(0).inFlight).toEqual({s1: 1});
 		placement.recordEnd(load);
-		expect(placement.takeUpdate().inFlight).toEqual({});
+		expect(placement.takeUpdate(0).inFlight).toEqual({});
 	});
 
 	describe('updates', () => {
 		it('announce parts that several programs share, once, and no others', () => {
 			const placement = createPlacement();
 			send(placement, 'p1', 0);
-			expect(placement.takeUpdate().shared).toEqual([]);
+			expect(placement.takeUpdate(0).shared).toEqual([]);
 			send(placement, 'p2', 5000);
-			expect(placement.takeUpdate().shared).toEqual([
+			expect(placement.takeUpdate(0).shared).toEqual([
 				{serverId, id: 'system', tokens: 9000},
 			]);
 			send(placement, 'p3', 5100);
-			expect(placement.takeUpdate().shared).toEqual([]);
+			expect(placement.takeUpdate(0).shared).toEqual([]);
 		});
 
 		it('repeat an announcement before other daemons discard it, unless another daemon has just made it', () => {
 			const placement = createPlacement();
 			send(placement, 'p1', 0);
 			send(placement, 'p2', 2000);
-			placement.takeUpdate();
+			placement.takeUpdate(0);
 			send(placement, 'p3', 4000);
-			expect(placement.takeUpdate().shared).toHaveLength(1);
+			expect(placement.takeUpdate(0).shared).toHaveLength(1);
 			const shared = [{serverId, id: 'system', tokens: 9000}];
 			placement.applyUpdate({inFlight: {}, shared}, 5900);
 			send(placement, 'p4', 6000);
-			expect(placement.takeUpdate().shared).toEqual([]);
+			expect(placement.takeUpdate(0).shared).toEqual([]);
 		});
 
 		it('direct requests of other programs to the server that caches their shared part', () => {
--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -1,4 +1,4 @@
-import type {AffinityKey, UpstreamId} from '@marjoramcove/types';
+import type {AffinityKey, DaemonId, UpstreamId} from '@marjoramcove/types';
 import type {ListedServer} from '@marjoramcove/inventory';
 import {
 	type BalancerSettings,
@@ -7,6 +7,8 @@
 	type LastTurn,
 } from './choose-server.ts';
 import type {InFlightByServer} from './load-reports.ts';
+import {DaemonRanking} from './daemon-ranking.ts';
+import type {ReportedRates} from './rate-statements.ts';
 import {SharedPartDetector} from './shared-part-detector.ts';
 import type {PromptPart} from './prefix-cache-estimate.ts';
 import {type ServerLoad, ServerTable, type SharedPart} from './server-table.ts';
@@ -37,6 +39,8 @@
 export type PlacementUpdate = {
 	inFlight: InFlightByServer;
 	shared: readonly SharedPart[];
+	/** Request rates that servers stated recently; absent in updates of an earlier version. */
+	rates?: ReportedRates;
 };
 
 export type PlacementOptions = {
@@ -82,6 +86,15 @@
 		this.#table.replace(servers);
 	}
 
+	/** Applies the list of the daemons that send requests to the servers. */
+	replaceDaemons(
+		selfId: DaemonId,
+		daemonIds: readonly DaemonId[],
+		nowMs: number,
+	): void {
+		this.#table.setDaemons(new DaemonRanking(selfId, daemonIds), nowMs);
+	}
+
 	/** @returns `undefined` when no server is available for the request. */
 	choose(request: PlacementRequest, nowMs: number): ServerLoad | undefined {
 		const {zone, settings, random} = this.#options;
@@ -110,6 +123,7 @@
 		nowMs: number,
 	): void {
 		load.inFlight++;
+		load.rateShare.recordSent(nowMs);
 		this.#sharedParts.record(
 			programId,
 			prompt.map(({id}) => id),
@@ -125,21 +139,53 @@
 		}
 	}
 
+	/**
+	 * Records the request rate that a server stated in a response, `undefined` if none.
+	 *
+	 * @returns whether it changed.
+	 */
+	recordRate(
+		load: ServerLoad,
+		requestsPerSecond: number | undefined,
+		nowMs: number,
+	): boolean {
+		return this.#table.recordRate(load, requestsPerSecond, nowMs);
+	}
+
+	/**
+	 * Returns the time at which the rates of the servers next allow a request of this daemon; `Infinity` if
+	 * they allow none.
+	 */
+	nextPermitAtMs({
+		service,
+		excludedIds,
+	}: Pick<PlacementRequest, 'excludedIds' | 'service'>): number {
+		return this.#table.nextPermitAtMs(service, excludedIds);
+	}
+
 	/** Records the end of a request that was sent to the server. */
 	recordEnd(load: ServerLoad): void {
 		load.inFlight--;
 	}
 
 	/** Returns the update for other daemons; each pending announcement is returned once. */
-	takeUpdate(): PlacementUpdate {
+	takeUpdate(nowMs: number): PlacementUpdate {
 		const shared = [...this.#unannounced.values()];
 		this.#unannounced.clear();
-		return {inFlight: this.#table.countInFlight(), shared};
+		return {
+			inFlight: this.#table.countInFlight(),
+			shared,
+			rates: this.#table.reportRates(nowMs),
+		};
 	}
 
 	/** Applies an update of other daemons. */
-	applyUpdate({inFlight, shared}: PlacementUpdate, nowMs: number): void {
+	applyUpdate(
+		{inFlight, shared, rates = {}}: PlacementUpdate,
+		nowMs: number,
+	): void {
 		this.#table.setOthersInFlight(inFlight);
+		this.#table.recordReportedRates(rates, nowMs);
 		this.#table.recordSharedParts(shared, nowMs);
 	}
 }
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,7 +1,14 @@
 import type {ListedServer} from '@marjoramcove/inventory';
-import {hashText, type UpstreamId} from '@marjoramcove/types';
+import {type DaemonId, hashText, type UpstreamId} from '@marjoramcove/types';
 import {type PromptPart, PrefixCacheEstimate} from './prefix-cache-estimate.ts';
 import {ServerHealth, type BaselineDurations} from './server-health.ts';
+import {DaemonRanking} from './daemon-ranking.ts';
+import {RateShare} from './rate-share.ts';
+import {
+	type ReportedRate,
+	type ReportedRates,
+	reportRate,
+} from './rate-statements.ts';
 import {DurationAverages} from './duration-averages.ts';
 
 /** A server with this daemon's view of its load, prefix cache and health. */
@@ -23,6 +30,8 @@
 	prefixCache: PrefixCacheEstimate;
 	/** Health, as observed by this daemon. */
 	health: ServerHealth;
+	/** This daemon's share in the request rate that the server states. */
+	rateShare: RateShare;
 };
 
 const createLoad = (
@@ -38,6 +47,7 @@
 	isClosing: false,
 	prefixCache: new PrefixCacheEstimate(),
 	health: new ServerHealth(baseline),
+	rateShare: new RateShare(hashText(server.id)),
 });
 
 /** A part that several programs share, and a server that it was sent to. */
@@ -60,6 +70,62 @@
 	};
 
 	#loads = new Map<UpstreamId, ServerLoad>();
+	#ranking = new DaemonRanking('' as DaemonId, []);
+
+	/** Applies the list of the daemons that send requests, among which the rates of servers are shared. */
+	setDaemons(ranking: DaemonRanking, nowMs: number): void {
+		this.#ranking = ranking;
+		for (const {rateShare} of this.#loads.values()) {
+			if (rateShare.isLimited) {
+				rateShare.updateShare(ranking, nowMs);
+			}
+		}
+	}
+
+	/**
+	 * Records the rate that a server stated in a response.
+	 *
+	 * @returns whether it changed.
+	 */
+	recordRate(
+		{rateShare}: ServerLoad,
+		requestsPerSecond: number | undefined,
+		nowMs: number,
+	): boolean {
+		return rateShare.recordStatement(
+			{requestsPerSecond, atMs: nowMs},
+			this.#ranking,
+			nowMs,
+		);
+	}
+
+	/** Records the rates that servers stated to other daemons. */
+	recordReportedRates(rates: ReportedRates, nowMs: number): void {
+		for (const [id, {requestsPerSecond, ageMs}] of Object.entries(rates)) {
+			this.#loads
+				.get(id as UpstreamId)
+				?.rateShare.recordStatement(
+					{requestsPerSecond, atMs: nowMs - ageMs},
+					this.#ranking,
+					nowMs,
+				);
+		}
+	}
+
+	/** Returns the recent statements of servers about their rate, by server id. */
+	reportRates(nowMs: number): Record<string, ReportedRate> {
+		const rates: Record<string, ReportedRate> = {};
+		for (const [id, {rateShare}] of this.#loads) {
+			const rate = rateShare.hasStatedLimit
+				? reportRate(rateShare.statement, nowMs)
+				: undefined;
+			if (rate) {
+				rates[id] = rate;
+			}
+		}
+
+		return rates;
+	}
 
 	/**
 	 * Applies a new server list. A server that restarted under the same id starts without load,
@@ -106,13 +172,12 @@
 	}
 
 	/**
-	 * Returns the servers of a service that accept new requests; servers to avoid only when there are
-	 * no others.
+	 * Returns the servers of a service to which this daemon may send a request now; servers to avoid only
+	 * when there are no others.
 	 */
 	candidates(service: string, nowMs: number): ServerLoad[] {
-		const all = [...this.#loads.values()].filter(
-			({server, isClosing}) =>
-				server.service === service && !server.isLeaving && !isClosing,
+		const all = this.#accepting(service).filter(
+			({rateShare}) => rateShare.nextPermitAtMs <= nowMs,
 		);
 		const usable = all.filter(
 			({avoidUntilMs, health}) =>
@@ -121,7 +186,33 @@
 		return usable.length > 0 ? usable : all;
 	}
 
+	/**
+	 * Returns the time at which a server of the service may first get another request of this daemon, as the
+	 * rates of the servers allow; `Infinity` if none may.
+	 */
+	nextPermitAtMs(
+		service: string,
+		excludedIds: ReadonlySet<UpstreamId>,
+	): number {
+		let earliestMs = Infinity;
+		for (const {server, rateShare} of this.#accepting(service)) {
+			if (!excludedIds.has(server.id)) {
+				earliestMs = Math.min(earliestMs, rateShare.nextPermitAtMs);
+			}
+		}
+
+		return earliestMs;
+	}
+
 	all(): ServerLoad[] {
 		return [...this.#loads.values()];
 	}
+
+	/** Servers of a service that are not leaving. */
+	#accepting(service: string): ServerLoad[] {
+		return [...this.#loads.values()].filter(
+			({server, isClosing}) =>
+				server.service === service && !server.isLeaving && !isClosing,
+		);
+	}
 }
--- /dev/null
+++ b/packages/gateway/src/entry/choose-when-permitted.ts
@@ -0,0 +1,67 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ServerLoad} from '@marjoramcove/balancer';
+import type {UpstreamId} from '@marjoramcove/types';
+import type {Refusal} from './refuse-request.ts';
+import type {RequestContext} from './request-context.ts';
+import type {Upstreams} from './upstreams.ts';
+
+/** Share of the time left that a request may wait for the rate limits of the servers. */
+const MAX_WAIT_SHARE = 0.25;
+
+/** Retry delay when this daemon has no share in the rates of the servers, so that others serve the retry. */
+const NO_SHARE_RETRY_MS = 100;
+
+/** The chosen server, or the reason why there is none. */
+export type ServerChoice =
+	| {type: 'chosen'; load: ServerLoad}
+	| {type: 'none'}
+	| {type: 'rate-limited'; refusal: Refusal};
+
+/**
+ * Chooses a server for a request, and waits for the stated rate of a server if only that prevents it from
+ * being sent. A request that could not be sent within a part of its time is refused at once.
+ *
+ * The load that it answers: all servers of a service state a limit at the same time.
+ *
+ * @example
+ * ```ts
+ * const choice = await chooseWhenPermitted(request, upstreams, new Set());
+ * ```
+ */
+export const chooseWhenPermitted = async (
+	request: RequestContext,
+	upstreams: Upstreams,
+	excludedIds: ReadonlySet<UpstreamId>,
+): Promise<ServerChoice> => {
+	const latestMs =
+		performance.now() +
+		(request.deadlineMs - performance.now()) * MAX_WAIT_SHARE;
+	for (;;) {
+		const load = upstreams.choose(request, excludedIds);
+		if (load) {
+			return {type: 'chosen', load};
+		}
+
+		const delayMs = upstreams.permitDelayMs(request, excludedIds);
+		if (delayMs === 0 || request.exchange.isFinished) {
+			return {type: 'none'};
+		}
+
+		if (performance.now() + delayMs > latestMs) {
+			return {
+				type: 'rate-limited',
+				refusal: {
+					status: 503,
+					reason: 'server-rate-limit',
+					message:
+						'The servers accept no more requests per second now. It has not run.',
+					retryAfterMs: Number.isFinite(delayMs)
+						? Math.ceil(delayMs)
+						: NO_SHARE_RETRY_MS,
+				},
+			};
+		}
+
+		await sleep(Math.ceil(delayMs));
+	}
+};
--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -37,15 +37,23 @@
 	}
 
 	override decodeResponse(status: number, headers: HeaderList): ResponseHead {
+		const limit = findHeader(headers, 'x-limit');
 		return {
 			requestId: findHeader(headers, 'x-request') as RequestId | undefined,
 			isNotRun: findHeader(headers, 'x-not-run') !== undefined,
 			isSigned: findHeader(headers, 'x-signature') !== undefined,
+			requestsPerSecond: limit === undefined ? undefined : Number(limit),
 		};
 	}
 
-	override encodeLocalResponse(): HeaderList {
-		return [];
+	override encodeLocalResponse({
+		retryAfterMs,
+	}: {
+		retryAfterMs?: number;
+	}): HeaderList {
+		return retryAfterMs === undefined
+			? []
+			: [['X-Retry-After-Ms', String(retryAfterMs)]];
 	}
 }
 
@@ -58,7 +66,9 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
-	constructor(answer: (socket: Socket, requestIndex: number) => void) {
+	constructor(
+		answer: (socket: Socket, requestIndex: number, head: string) => void,
+	) {
 		this.#server = createServer((socket) => {
 			this.#sockets.add(socket);
 			socket.on('error', () => undefined);
@@ -70,7 +80,7 @@
 				if (chunk.includes('\r\n\r\n')) {
 					this.requestCount++;
 					this.usedSockets.add(socket);
-					answer(socket, this.requestCount);
+					answer(socket, this.requestCount, chunk.toString());
 				}
 			});
 		});
@@ -189,6 +199,11 @@
 			servers: {stamp: {term: 1, sequence: 1}, items: servers},
 		});
 		fixture.upstreams.updateServers();
+		fixture.upstreams.placement.replaceDaemons(
+			settings.daemonId,
+			[settings.daemonId],
+			performance.now(),
+		);
 		fixture.#port = await fixture.#server.start();
 		return fixture;
 	}
@@ -236,9 +251,12 @@
 	}
 
 	/** Sends a request as a caller. */
-	async send(
-		requestId: string,
-	): Promise<{status: number; verdict?: string; body: string}> {
+	async send(requestId: string): Promise<{
+		status: number;
+		verdict?: string;
+		body: string;
+		retryAfterMs?: number;
+	}> {
 		const response = await fetch(`http://127.0.0.1:${this.#port}/x`, {
 			headers: {'x-request': requestId},
 		});
@@ -247,7 +265,13 @@
 		const verdict = isError
 			? (JSON.parse(body) as {error: {verdict: string}}).error.verdict
 			: undefined;
-		return {status: response.status, verdict, body};
+		const retryAfterMs = response.headers.get('x-retry-after-ms');
+		return {
+			status: response.status,
+			verdict,
+			body,
+			...(retryAfterMs !== null && {retryAfterMs: Number(retryAfterMs)}),
+		};
 	}
 
 	async stop(): Promise<void> {
--- a/packages/gateway/src/entry/forward-plain.ts
+++ b/packages/gateway/src/entry/forward-plain.ts
@@ -7,6 +7,7 @@
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId, Verdict} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
+import {chooseWhenPermitted} from './choose-when-permitted.ts';
 import {findResponseError} from './find-response-error.ts';
 import {type Refusal, refuseRequest} from './refuse-request.ts';
 import {
@@ -134,11 +135,20 @@
 			return {status: 499, reason: 'caller-left', attempts: attempts - 1};
 		}
 
-		const load = options.upstreams.choose(request, excludedIds);
-		if (!load || performance.now() >= request.deadlineMs) {
+		const choice = await chooseWhenPermitted(
+			request,
+			options.upstreams,
+			excludedIds,
+		);
+		if (choice.type === 'rate-limited' && possibleRuns === 0) {
+			lastFailure = choice.refusal;
+		}
+
+		if (choice.type !== 'chosen' || performance.now() >= request.deadlineMs) {
 			return refuseRequest(context, request, lastFailure, attempts - 1);
 		}
 
+		const {load} = choice;
 		const serverId = load.server.id;
 		excludedIds.add(serverId);
 		const result = await sendAttempt(request, load, options);
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -8,6 +8,7 @@
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId, Verdict} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
+import {chooseWhenPermitted} from './choose-when-permitted.ts';
 import {findResponseError} from './find-response-error.ts';
 import {type Refusal, refuseRequest} from './refuse-request.ts';
 import {
@@ -236,11 +237,20 @@
 			return {status: 499, reason: 'caller-left', attempts};
 		}
 
-		const load = options.upstreams.choose(request, excludedIds);
-		if (!load || performance.now() >= request.deadlineMs) {
+		const choice = await chooseWhenPermitted(
+			request,
+			options.upstreams,
+			excludedIds,
+		);
+		if (choice.type === 'rate-limited') {
+			lastFailure = choice.refusal;
+		}
+
+		if (choice.type !== 'chosen' || performance.now() >= request.deadlineMs) {
 			break;
 		}
 
+		const {load} = choice;
 		attempts++;
 		const serverId = load.server.id;
 		excludedIds.add(serverId);
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -111,6 +111,32 @@
 		);
 	}
 
+	/** Applies the entry daemons of the current view, among which the rates of servers are shared. */
+	updateDaemons(): void {
+		const {view, settings} = this.#context;
+		const entries = view
+			.membersWithRole('entry')
+			.filter(({phase}) => phase === 'ready')
+			.map(({daemonId}) => daemonId);
+		this.placement.replaceDaemons(
+			settings.daemonId,
+			entries,
+			performance.now(),
+		);
+	}
+
+	/**
+	 * Returns the time in milliseconds until the stated rates of the servers allow the request to be sent;
+	 * `Infinity` if they allow this daemon none of them.
+	 */
+	permitDelayMs(
+		{service}: RequestContext,
+		excludedIds: ReadonlySet<UpstreamId>,
+	): number {
+		const atMs = this.placement.nextPermitAtMs({service, excludedIds});
+		return Math.max(0, atMs - performance.now());
+	}
+
 	/** Sends one attempt of the request to a server. */
 	send(
 		request: RequestContext,
@@ -172,6 +198,7 @@
 				onStart: (answer) => {
 					const head = headCodec.decodeResponse(answer.status, answer.headers);
 					this.#avoidIfNotRun(load, answer, head);
+					this.#recordRate(load, request, answer, head);
 					attemptEnd = classifyResponse(answer, head);
 					handlers.onStart({...answer, head});
 				},
@@ -225,6 +252,37 @@
 			performance.now() + (isLeaving ? AVOID_LEAVING_MS : AVOID_FULL_MS);
 	}
 
+	/** Records the request rate that the response of the server states. */
+	#recordRate(
+		load: ServerLoad,
+		request: RequestContext,
+		{status}: ResponseStart,
+		{requestsPerSecond, requestId, isNotRun, isSigned}: ResponseHead,
+	): void {
+		const isOfServer = requestId === request.head.requestId && status !== 421;
+		// A refusal need not repeat the limit, so that only a served request shows that there is none.
+		const isStatement =
+			requestsPerSecond !== undefined || (isSigned && !isNotRun);
+		if (!isOfServer || !isStatement) {
+			return;
+		}
+
+		const nowMs = performance.now();
+		if (this.placement.recordRate(load, requestsPerSecond, nowMs)) {
+			const {intervalMs} = load.rateShare;
+			this.#context.logger.info({
+				event: 'server-rate-changed',
+				server: load.server.id,
+				service: load.server.service,
+				requestsPerSecond,
+				hasShare: intervalMs < Infinity,
+				intervalMs: Number.isFinite(intervalMs)
+					? Math.round(intervalMs)
+					: undefined,
+			});
+		}
+	}
+
 	#recordAttemptEnd(
 		load: ServerLoad,
 		attempt: ObservedAttempt,
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -98,11 +98,21 @@
 	tokens: z.number(),
 });
 
-/** In-flight requests of the daemons that the sender reports for, and the shared prompt parts they sent. */
+const reportedRatesSchema = z.record(
+	z.string(),
+	z.object({requestsPerSecond: z.number().optional(), ageMs: z.number()}),
+);
+
+/**
+ * In-flight requests of the daemons that the sender reports for, the shared prompt parts they sent, and the
+ * request rates that servers stated to them.
+ */
 export const loadReportInput = z.object({
 	from: z.string(),
 	inFlight: z.record(z.string(), z.number()),
 	shared: z.array(sharedPartSchema),
+	/** Absent in reports of daemons of an earlier version. */
+	rates: reportedRatesSchema.default({}),
 	/** Position up to which the sender has read the reports of this relay. */
 	position: z.object({ledgerId: z.string(), sequence: z.number()}).optional(),
 });
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -86,10 +86,16 @@
 		this.#context.view.onChange((topic) => {
 			if (topic === 'document') {
 				this.#applyDocument();
-			} else if (topic === 'servers') {
+			}
+
+			if (topic === 'servers') {
 				this.#upstreams.updateServers();
 			}
 
+			if (topic === 'members') {
+				this.#upstreams.updateDaemons();
+			}
+
 			this.#updatePhase();
 		});
 		await this.#server.start();
--- a/packages/gateway/src/services/load-exchange-services.ts
+++ b/packages/gateway/src/services/load-exchange-services.ts
@@ -4,6 +4,7 @@
 	deriveExchangeIntervalMs,
 	type InFlightByServer,
 	LoadReports,
+	RateStatements,
 	SharedPartLog,
 	type SharedPartLogPosition,
 	type Placement,
@@ -43,6 +44,8 @@
 	/** Load reported by other control daemons for their children. */
 	readonly #peerLoads = new LoadReports();
 	readonly #sharedParts: SharedPartLog;
+	/** Request rates that servers stated to entry daemons. */
+	readonly #rates = new RateStatements();
 	/** Shared parts reported by children since the last message to the other control daemons. */
 	#unsentParts: SharedPart[] = [];
 	#peers!: PeersService;
@@ -64,12 +67,14 @@
 		network.handle(
 			'news.exchange',
 			loadReportInput,
-			async ({from, inFlight, shared, position}) => {
+			async ({from, inFlight, shared, rates, position}) => {
 				const nowMs = performance.now();
 				this.#childLoads.record(from, inFlight, nowMs);
 				this.#sharedParts.append(from, shared, nowMs);
 				this.#unsentParts.push(...shared);
+				this.#rates.record(rates, nowMs);
 				return {
+					rates: this.#rates.report(nowMs),
 					inFlight: addLoads(
 						this.#childLoads.sumOfOthers(from, nowMs),
 						this.#peerLoads.sumOfOthers('', nowMs),
@@ -81,8 +86,9 @@
 		network.handlePost(
 			'news.share',
 			loadReportInput,
-			({from, inFlight, shared}) => {
+			({from, inFlight, shared, rates}) => {
 				const nowMs = performance.now();
+				this.#rates.record(rates, nowMs);
 				this.#peerLoads.record(from, inFlight, nowMs);
 				this.#sharedParts.append(from, shared, nowMs);
 			},
@@ -98,9 +104,11 @@
 
 	async #sendToPeers(): Promise<void> {
 		const {view, settings, retries} = this.#context;
+		const nowMs = performance.now();
 		const message = {
 			from: settings.daemonId,
-			inFlight: this.#childLoads.sumOfOthers('', performance.now()),
+			rates: this.#rates.report(nowMs),
+			inFlight: this.#childLoads.sumOfOthers('', nowMs),
 			shared: this.#unsentParts,
 		};
 		this.#unsentParts = [];
@@ -179,7 +187,7 @@
 					'news.exchange',
 					{
 						from: this.#context.settings.daemonId,
-						...this.#placement.takeUpdate(),
+						...this.#placement.takeUpdate(performance.now()),
 						position: this.#position,
 					},
 					{timeoutMs: EXCHANGE_TIMEOUT_MS, channel: 'control'},
--- a/packages/ingress/src/head-codec.ts
+++ b/packages/ingress/src/head-codec.ts
@@ -38,6 +38,8 @@
 	isNotRun: boolean;
 	/** Whether the response carries the signature of a server and so does not come from an intermediary. */
 	isSigned: boolean;
+	/** Requests per second that the server accepts from all daemons together; absent if it states no limit. */
+	requestsPerSecond?: number;
 };
 
 /** Maps headers to metadata and back; implemented by a platform adapter. */
--- a/packages/measure/src/sites/site-policies.ts
+++ b/packages/measure/src/sites/site-policies.ts
@@ -88,7 +88,7 @@
 	override exchangeLoads(entry: number, nowMs: number): void {
 		const state = this.#entries[entry]!;
 		const relay = this.#relays[state.zone]!;
-		const report = state.placement.takeUpdate();
+		const report = state.placement.takeUpdate(nowMs);
 		relay.loads.record(String(entry), report.inFlight, nowMs);
 		for (const {news} of this.#relays) {
 			news.append(String(entry), report.shared, nowMs);
