--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -179,13 +179,17 @@
 		};
 	}
 
-	/** Applies an update of other daemons. */
+	/**
+	 * Applies an update of other daemons.
+	 *
+	 * @returns the servers whose stated rate changed.
+	 */
 	applyUpdate(
 		{inFlight, shared, rates = {}}: PlacementUpdate,
 		nowMs: number,
-	): void {
+	): ServerLoad[] {
 		this.#table.setOthersInFlight(inFlight);
-		this.#table.recordReportedRates(rates, nowMs);
 		this.#table.recordSharedParts(shared, nowMs);
+		return this.#table.recordReportedRates(rates, nowMs);
 	}
 }
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -99,17 +99,19 @@
 		);
 	}
 
-	/** Records the rates that servers stated to other daemons. */
-	recordReportedRates(rates: ReportedRates, nowMs: number): void {
-		for (const [id, {requestsPerSecond, ageMs}] of Object.entries(rates)) {
-			this.#loads
-				.get(id as UpstreamId)
-				?.rateShare.recordStatement(
-					{requestsPerSecond, atMs: nowMs - ageMs},
-					this.#ranking,
-					nowMs,
-				);
-		}
+	/**
+	 * Records the rates that servers stated to other daemons.
+	 *
+	 * @returns the servers whose rate changed.
+	 */
+	recordReportedRates(rates: ReportedRates, nowMs: number): ServerLoad[] {
+		return Object.entries(rates).flatMap(([id, {requestsPerSecond, ageMs}]) => {
+			const load = this.#loads.get(id as UpstreamId);
+			const statement = {requestsPerSecond, atMs: nowMs - ageMs};
+			return load?.rateShare.recordStatement(statement, this.#ranking, nowMs)
+				? [load]
+				: [];
+		});
 	}
 
 	/** Returns the recent statements of servers about their rate, by server id. */
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -18,6 +18,7 @@
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
+import {logRateChange} from './log-rate-change.ts';
 import type {RequestContext} from './request-context.ts';
 
 /** Time for which a server is avoided that is shutting down or is not the instance that was addressed. */
@@ -269,17 +270,7 @@
 
 		const nowMs = performance.now();
 		if (this.placement.recordRate(load, requestsPerSecond, nowMs)) {
-			const {intervalMs} = load.rateShare;
-			this.#context.logger.info({
-				event: 'server-rate-changed',
-				server: load.server.id,
-				service: load.server.service,
-				requestsPerSecond,
-				hasShare: intervalMs < Infinity,
-				intervalMs: Number.isFinite(intervalMs)
-					? Math.round(intervalMs)
-					: undefined,
-			});
+			logRateChange(this.#context.logger, load, 'server');
 		}
 	}
 
--- a/packages/gateway/src/services/load-exchange-services.ts
+++ b/packages/gateway/src/services/load-exchange-services.ts
@@ -11,6 +11,7 @@
 	type SharedPart,
 } from '@marjoramcove/balancer';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
+import {logRateChange} from '../entry/log-rate-change.ts';
 import {loadReportInput, type LoadReportOutput} from '../peer-messages.ts';
 import type {GatewayContext} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
@@ -193,7 +194,10 @@
 					{timeoutMs: EXCHANGE_TIMEOUT_MS, channel: 'control'},
 				);
 			this.#position = position;
-			this.#placement.applyUpdate(loadReport, performance.now());
+			const nowMs = performance.now();
+			for (const load of this.#placement.applyUpdate(loadReport, nowMs)) {
+				logRateChange(this.#context.logger, load, 'daemon');
+			}
 		} catch (error) {
 			// Without load reports, the daemon relies on its own requests only.
 			this.#placement.applyUpdate(
