Tell a missing server from a rate limit, and decide both at one moment

Cause: a request whose servers were all tried, or whose service had none, was refused with the reason server-rate-limit, and a permit that came due between the choice and the look at the limits refused it without a wait. Callers got the same 503; operators would have looked for a limit that no server stated.

Change: the time of the next permit is absent without servers, and both questions use the same time.

--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -154,12 +154,12 @@
 
 	/**
 	 * Returns the time at which the rates of the servers next allow a request of this daemon; `Infinity` if
-	 * they allow none.
+	 * they allow none, `undefined` if there is no server.
 	 */
 	nextPermitAtMs({
 		service,
 		excludedIds,
-	}: Pick<PlacementRequest, 'excludedIds' | 'service'>): number {
+	}: Pick<PlacementRequest, 'excludedIds' | 'service'>): number | undefined {
 		return this.#table.nextPermitAtMs(service, excludedIds);
 	}
 
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -190,20 +190,16 @@
 
 	/**
 	 * Returns the time at which a server of the service may first get another request of this daemon, as the
-	 * rates of the servers allow; `Infinity` if none may.
+	 * rates of the servers allow; `Infinity` if none may, `undefined` if there is no server.
 	 */
 	nextPermitAtMs(
 		service: string,
 		excludedIds: ReadonlySet<UpstreamId>,
-	): number {
-		let earliestMs = Infinity;
-		for (const {server, rateShare} of this.#accepting(service)) {
-			if (!excludedIds.has(server.id)) {
-				earliestMs = Math.min(earliestMs, rateShare.nextPermitAtMs);
-			}
-		}
-
-		return earliestMs;
+	): number | undefined {
+		const timesMs = this.#accepting(service)
+			.filter(({server}) => !excludedIds.has(server.id))
+			.map(({rateShare}) => rateShare.nextPermitAtMs);
+		return timesMs.length > 0 ? Math.min(...timesMs) : undefined;
 	}
 
 	all(): ServerLoad[] {
--- a/packages/gateway/src/entry/choose-when-permitted.ts
+++ b/packages/gateway/src/entry/choose-when-permitted.ts
@@ -33,21 +33,26 @@
 	upstreams: Upstreams,
 	excludedIds: ReadonlySet<UpstreamId>,
 ): Promise<ServerChoice> => {
+	const startedAtMs = performance.now();
 	const latestMs =
-		performance.now() +
-		(request.deadlineMs - performance.now()) * MAX_WAIT_SHARE;
+		startedAtMs + (request.deadlineMs - startedAtMs) * MAX_WAIT_SHARE;
 	for (;;) {
-		const load = upstreams.choose(request, excludedIds);
+		const nowMs = performance.now();
+		const load = upstreams.choose(request, excludedIds, nowMs);
 		if (load) {
 			return {type: 'chosen', load};
 		}
 
-		const delayMs = upstreams.permitDelayMs(request, excludedIds);
-		if (delayMs === 0 || request.exchange.isFinished) {
+		const permitAtMs = upstreams.nextPermitAtMs(request, excludedIds);
+		if (
+			permitAtMs === undefined ||
+			permitAtMs <= nowMs ||
+			request.exchange.isFinished
+		) {
 			return {type: 'none'};
 		}
 
-		if (performance.now() + delayMs > latestMs) {
+		if (permitAtMs > latestMs) {
 			return {
 				type: 'rate-limited',
 				refusal: {
@@ -55,13 +60,13 @@
 					reason: 'server-rate-limit',
 					message:
 						'The servers accept no more requests per second now. It has not run.',
-					retryAfterMs: Number.isFinite(delayMs)
-						? Math.ceil(delayMs)
+					retryAfterMs: Number.isFinite(permitAtMs)
+						? Math.ceil(permitAtMs - nowMs)
 						: NO_SHARE_RETRY_MS,
 				},
 			};
 		}
 
-		await sleep(Math.ceil(delayMs));
+		await sleep(Math.ceil(permitAtMs - nowMs));
 	}
 };
--- a/packages/gateway/src/entry/rate-limits.test.ts
+++ b/packages/gateway/src/entry/rate-limits.test.ts
@@ -111,6 +111,13 @@
 		expect(limited.requestCount).toBe(1);
 	});
 
+	it('are not the reason of a refusal when there is no server', async () => {
+		// Guards against operators who look for a limit that no server stated.
+		const entry = await start('non-idempotent', 2000);
+		expect(await entry.send('r1')).toMatchObject({status: 503});
+		expect(entry.outcomes[0]?.reason).toBe('no-server');
+	});
+
 	it('end with the first response that states none', async () => {
 		// Guards against a limit that holds for ever.
 		const limited = new LimitedServer(4);
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -102,13 +102,14 @@
 	choose(
 		request: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
+		nowMs: number,
 	): ServerLoad | undefined {
 		return this.placement.choose(
 			{
 				...createPlacementRequest(request, excludedIds),
 				isConnected: ({key}) => this.#client.hasIdleConnection(key),
 			},
-			performance.now(),
+			nowMs,
 		);
 	}
 
@@ -127,15 +128,14 @@
 	}
 
 	/**
-	 * Returns the time in milliseconds until the stated rates of the servers allow the request to be sent;
-	 * `Infinity` if they allow this daemon none of them.
+	 * Returns the time at which the stated rates of the servers next allow the request; `Infinity` if they
+	 * allow this daemon none, `undefined` if there is no server left.
 	 */
-	permitDelayMs(
+	nextPermitAtMs(
 		{service}: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
-	): number {
-		const atMs = this.placement.nextPermitAtMs({service, excludedIds});
-		return Math.max(0, atMs - performance.now());
+	): number | undefined {
+		return this.placement.nextPermitAtMs({service, excludedIds});
 	}
 
 	/** Sends one attempt of the request to a server. */
