Wait for a limited server rather than use one that is avoided

Cause: servers to avoid are used when there are no others, and a server whose permit was some milliseconds away counted as none.

Change: while a sound limited server may take the request later, servers to avoid are left out, and the time of the next permit counts the end of a short avoidance. Without limits nothing changes.

Result: two of the three new cases of rate-share.test.ts fail when avoided servers are returned as before (scratch change), all pass now; 162 tests of balancer, gateway and measure pass.

--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -98,8 +98,12 @@
 	/** @returns `undefined` when no server is available for the request. */
 	choose(request: PlacementRequest, nowMs: number): ServerLoad | undefined {
 		const {zone, settings, random} = this.#options;
-		const candidates = this.#table.candidates(request.service, nowMs);
 		const {prompt, affinityKey, last, isConnected, excludedIds} = request;
+		const candidates = this.#table.candidates(
+			request.service,
+			nowMs,
+			excludedIds,
+		);
 		return chooseServer(
 			candidates,
 			{
@@ -156,11 +160,11 @@
 	 * Returns the time at which the rates of the servers next allow a request of this daemon; `Infinity` if
 	 * they allow none, `undefined` if there is no server.
 	 */
-	nextPermitAtMs({
-		service,
-		excludedIds,
-	}: Pick<PlacementRequest, 'excludedIds' | 'service'>): number | undefined {
-		return this.#table.nextPermitAtMs(service, excludedIds);
+	nextPermitAtMs(
+		{service, excludedIds}: Pick<PlacementRequest, 'excludedIds' | 'service'>,
+		nowMs: number,
+	): number | undefined {
+		return this.#table.nextPermitAtMs(service, excludedIds, nowMs);
 	}
 
 	/** Records the end of a request that was sent to the server. */
--- a/packages/balancer/src/rate-share.test.ts
+++ b/packages/balancer/src/rate-share.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {Placement} from './placement.ts';
+import type {ServerLoad} from './server-table.ts';
 import {RateStatements} from './rate-statements.ts';
 
 /** Window over which the requests that a server receives are counted. */
@@ -159,6 +160,47 @@
 		});
 	});
 
+	describe('while the server without a limit is to be avoided', () => {
+		const create = (spoil: (load: ServerLoad) => void) => {
+			const id = asId<DaemonId>('e1');
+			const placement = new Placement({zone: 'a', random: () => 0.5});
+			placement.replaceServers(createServers(2));
+			placement.replaceDaemons(id, [id], 0);
+			placement.recordRate(placement.servers[0]!, 4, 0);
+			spoil(placement.servers[1]!);
+			return placement;
+		};
+
+		it('a request waits for the limited one (failure: it is sent to a server that hangs)', () => {
+			const placement = create(({health}) => {
+				health.end(health.begin({route: 'chat'}, 0), 'failed', 10);
+			});
+			expect(placement.choose(request, 100)).toBeUndefined();
+			expect(placement.nextPermitAtMs(request, 100)).toBe(250);
+			expect(placement.choose(request, 250)?.server.id).toBe('s0');
+		});
+
+		it('a request waits for the end of a short avoidance', () => {
+			// Guards against a full server that gets each request again at once while the others are limited.
+			const placement = create((load) => {
+				load.avoidUntilMs = 150;
+			});
+			expect(placement.choose(request, 100)).toBeUndefined();
+			expect(placement.nextPermitAtMs(request, 100)).toBe(150);
+			expect(placement.choose(request, 150)?.server.id).toBe('s1');
+		});
+
+		it('a request that was sent to the limited one goes to it all the same', () => {
+			// Guards against a refusal although one server is left to try.
+			const placement = create((load) => {
+				load.avoidUntilMs = 1000;
+			});
+			const excludedIds = new Set([asId<UpstreamId>('s0')]);
+			const chosen = placement.choose({...request, excludedIds}, 100);
+			expect(chosen?.server.id).toBe('s1');
+		});
+	});
+
 	describe('a limit', () => {
 		const ids = ['e1', 'e2'].map((id) => asId<DaemonId>(id));
 		const create = (self: number) => {
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -1,5 +1,10 @@
 import type {ListedServer} from '@marjoramcove/inventory';
-import {type DaemonId, hashText, type UpstreamId} from '@marjoramcove/types';
+import {
+	asId,
+	type DaemonId,
+	hashText,
+	type UpstreamId,
+} from '@marjoramcove/types';
 import {type PromptPart, PrefixCacheEstimate} from './prefix-cache-estimate.ts';
 import {ServerHealth, type BaselineDurations} from './server-health.ts';
 import {DaemonRanking} from './daemon-ranking.ts';
@@ -70,7 +75,7 @@
 	};
 
 	#loads = new Map<UpstreamId, ServerLoad>();
-	#ranking = new DaemonRanking('' as DaemonId, []);
+	#ranking = new DaemonRanking(asId<DaemonId>(''), []);
 
 	/** Applies the list of the daemons that send requests, among which the rates of servers are shared. */
 	setDaemons(ranking: DaemonRanking, nowMs: number): void {
@@ -174,32 +179,58 @@
 	}
 
 	/**
-	 * Returns the servers of a service to which this daemon may send a request now; servers to avoid only
-	 * when there are no others.
+	 * Returns the servers of a service to which this daemon may send a request now. Servers to avoid are
+	 * returned only when there are no others, and none of the others takes the request later.
 	 */
-	candidates(service: string, nowMs: number): ServerLoad[] {
-		const all = this.#accepting(service).filter(
+	candidates(
+		service: string,
+		nowMs: number,
+		excludedIds: ReadonlySet<UpstreamId> = new Set(),
+	): ServerLoad[] {
+		const accepting = this.#accepting(service);
+		const permitted = accepting.filter(
 			({rateShare}) => rateShare.nextPermitAtMs <= nowMs,
 		);
-		const usable = all.filter(
+		const usable = permitted.filter(
 			({avoidUntilMs, health}) =>
 				avoidUntilMs <= nowMs && !health.isAvoided(nowMs),
 		);
-		return usable.length > 0 ? usable : all;
+		if (usable.length > 0) {
+			return usable;
+		}
+
+		const mayWait = accepting.some(
+			({server, rateShare, health}) =>
+				rateShare.isLimited &&
+				rateShare.nextPermitAtMs < Infinity &&
+				!health.isAvoided(nowMs) &&
+				!excludedIds.has(server.id),
+		);
+		return mayWait ? [] : permitted;
 	}
 
 	/**
-	 * Returns the time at which a server of the service may first get another request of this daemon, as the
-	 * rates of the servers allow; `Infinity` if none may, `undefined` if there is no server.
+	 * Returns the time at which a sound server of the service may first get another request of this daemon, as
+	 * the rates of the servers allow; `Infinity` if none may, `undefined` if there is no server.
 	 */
 	nextPermitAtMs(
 		service: string,
 		excludedIds: ReadonlySet<UpstreamId>,
+		nowMs: number,
 	): number | undefined {
-		const timesMs = this.#accepting(service)
-			.filter(({server}) => !excludedIds.has(server.id))
-			.map(({rateShare}) => rateShare.nextPermitAtMs);
-		return timesMs.length > 0 ? Math.min(...timesMs) : undefined;
+		const open = this.#accepting(service).filter(
+			({server}) => !excludedIds.has(server.id),
+		);
+		if (!open.some(({rateShare}) => rateShare.isLimited)) {
+			return open.length > 0 ? nowMs : undefined;
+		}
+
+		const sound = open.filter(({health}) => !health.isAvoided(nowMs));
+		const timesMs = (sound.length > 0 ? sound : open).map(
+			({rateShare, avoidUntilMs}) =>
+				Math.max(rateShare.nextPermitAtMs, avoidUntilMs),
+		);
+		return Math.min(...timesMs);
 	}
 
 	all(): ServerLoad[] {
--- a/packages/gateway/src/entry/choose-when-permitted.ts
+++ b/packages/gateway/src/entry/choose-when-permitted.ts
@@ -43,7 +43,7 @@
 			return {type: 'chosen', load};
 		}
 
-		const permitAtMs = upstreams.nextPermitAtMs(request, excludedIds);
+		const permitAtMs = upstreams.nextPermitAtMs(request, excludedIds, nowMs);
 		if (
 			permitAtMs === undefined ||
 			permitAtMs <= nowMs ||
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -134,8 +134,9 @@
 	nextPermitAtMs(
 		{service}: RequestContext,
 		excludedIds: ReadonlySet<UpstreamId>,
+		nowMs: number,
 	): number | undefined {
-		return this.placement.nextPermitAtMs({service, excludedIds});
+		return this.placement.nextPermitAtMs({service, excludedIds}, nowMs);
 	}
 
 	/** Sends one attempt of the request to a server. */
