--- a/packages/integration/src/helpers/charge-fee-fixture.ts
+++ b/packages/integration/src/helpers/charge-fee-fixture.ts
@@ -21,6 +21,9 @@
 
 const OBSERVER_DAEMON = 'd6';
 
+/** Time for which the slots stay occupied after the intent of the queued call was seen. */
+const SLOTS_OCCUPIED_MS = 1000;
+
 /** Fault of a daemon: a signal, or the direction in which its links to other daemons are silenced. */
 export type DaemonFault =
 	'SIGKILL' | 'SIGSTOP' | 'both' | 'outgoing' | 'incoming';
@@ -105,7 +108,11 @@
 	async sendQueuedCall(): Promise<SentCall & {blockingRefs: string[]}> {
 		const {entryDesk} = this.bed;
 		const blockingRefs = Array.from({length: 16}, () => this.nextRef());
-		const blockingCalls = await this.#occupyAllSlots(blockingRefs);
+		let freeSlots!: () => void;
+		const freed = new Promise<void>((resolve) => {
+			freeSlots = resolve;
+		});
+		const blockingCalls = await this.#occupyAllSlots(blockingRefs, freed);
 		const programId = await this.bed.caller(ENTRY_DAEMON).openProgram();
 		const ref = this.nextRef();
 		let settledAs = 'no answer yet';
@@ -115,19 +122,24 @@
 		};
 
 		const firstAnswer = send();
-		await waitFor('the intent', async () => {
-			const program = await this.bed
-				.caller(OBSERVER_DAEMON)
-				.readProgram(programId);
-			const body = JSON.stringify(program.body);
-			if (!body.includes(ref)) {
-				throw new Error(
-					`the program is ${body}; the call ended with: ${settledAs}`,
-				);
-			}
+		try {
+			await waitFor('the intent', async () => {
+				const program = await this.bed
+					.caller(OBSERVER_DAEMON)
+					.readProgram(programId);
+				const body = JSON.stringify(program.body);
+				if (!body.includes(ref)) {
+					throw new Error(
+						`the program is ${body}; the call ended with: ${settledAs}`,
+					);
+				}
+
+				return true;
+			});
+		} finally {
+			setTimeout(freeSlots, SLOTS_OCCUPIED_MS);
+		}
 
-			return true;
-		});
 		return {
 			programId,
 			ref,
@@ -227,14 +239,18 @@
 		);
 	}
 
-	async #occupyAllSlots(refs: string[]): Promise<Array<Promise<unknown>>> {
+	/** @param freed - fulfilled when the calls may end. */
+	async #occupyAllSlots(
+		refs: string[],
+		freed: Promise<void>,
+	): Promise<Array<Promise<unknown>>> {
 		const {entryDesk} = this.bed;
 		const caller = this.bed.caller(ENTRY_DAEMON);
 		const programs = await Promise.all(
 			refs.map(async () => caller.openProgram()),
 		);
 		for (const _ of refs) {
-			entryDesk.injectFault('charge-fee', {kind: 'delay', delayMs: 1000});
+			entryDesk.injectFault('charge-fee', {kind: 'hold', until: freed});
 		}
 
 		const received = entryDesk.receivedCount;
--- a/packages/test-support/src/fake-service.ts
+++ b/packages/test-support/src/fake-service.ts
@@ -13,6 +13,8 @@
 export type ServiceFault =
 	/** The operation runs after a delay. */
 	| {kind: 'delay'; delayMs: number}
+	/** The operation runs once the promise is fulfilled. */
+	| {kind: 'hold'; until: Promise<void>}
 	/** The operation does not run, and the connection stays open without a response. */
 	| {kind: 'hang'}
 	/** The operation runs, then the connection is reset without a response. */
@@ -116,6 +118,10 @@
 			});
 		}
 
+		if (fault?.kind === 'hold') {
+			await fault.until;
+		}
+
 		this.executions.push({operation, key, input, atMs: Date.now()});
 		if (fault?.kind === 'lose-answer') {
 			request.socket.resetAndDestroy();
