Treat a stream that ends inside an event as broken off

What callers saw: a stream whose last event is cut, framed as complete; a turn would be stored with it.

Cause: the end of the framing was taken for the end of the stream. A server that dies closes its connection in order, so that a stream without a length ends like a sound one, and a server may stop within an event.

Change: EventBoundary tracks whether the stream is between two events; otherwise its end aborts the response, nothing is stored, and the server counts as failed. Responses that are not text/event-stream are not judged.

--- a/packages/gateway/src/entry/faulty-servers.test.ts
+++ b/packages/gateway/src/entry/faulty-servers.test.ts
@@ -219,6 +219,25 @@
 			});
 		});
 
+		it.each([
+			['no length', UNFRAMED_STREAM_HEAD, 'id: 2\nda', ''],
+			['chunks', STREAM_HEAD, '8\r\nid: 2\nda\r\n', '0\r\n\r\n'],
+		])(
+			'that end inside an event are visibly incomplete, and the server counts as failed: %s',
+			async (_name, head, piece, end) => {
+				// Guards against a stream that breaks off in an orderly way and looks complete.
+				await startStream(async (socket) => {
+					socket.write(head);
+					await sleep(30);
+					socket.end(piece + end);
+				}, 5000);
+				await expect(fixture!.send('r1')).rejects.toThrow();
+				expect(fixture!.outcomes[0]?.reason).toBe('stream-ended-inside-event');
+				const [load] = fixture!.upstreams.placement.servers;
+				expect(load!.health.isAvoided(performance.now())).toBe(true);
+			},
+		);
+
 		it('that send a byte now and then end at the time limit, visibly incomplete', async () => {
 			// Guards against a stalled stream that its bytes keep alive.
 			let isClosed = false;
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -1,9 +1,11 @@
 import type {ServerLoad} from '@marjoramcove/balancer';
 import {
-	type ResponseHead,
-	type ResponseStart,
 	type EventStreamReader,
+	findHeader,
+	type HeaderList,
 	ResponseBuffer,
+	type ResponseHead,
+	type ResponseStart,
 } from '@marjoramcove/ingress';
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId, Verdict} from '@marjoramcove/types';
@@ -45,6 +47,9 @@
 	reader: EventStreamReader;
 };
 
+const isEventStream = (headers: HeaderList): boolean =>
+	/^text\/event-stream\b/iu.test(findHeader(headers, 'content-type') ?? '');
+
 /** Sends the request to one server and forwards its event stream. */
 class StreamAttempt {
 	readonly #request: RequestContext;
@@ -58,6 +63,8 @@
 	readonly #buffer: ResponseBuffer;
 	#verdict: Verdict = 'not-run';
 	#isStreaming = false;
+	/** Whether the response says that it consists of server-sent events. */
+	#hasEvents = false;
 	#isFinished = false;
 
 	constructor(
@@ -114,6 +121,7 @@
 			this.#fail(error, this.#verdict);
 		} else if (answer.status === 200) {
 			this.#isStreaming = true;
+			this.#hasEvents = isEventStream(answer.headers);
 			this.#request.exchange.start(answer.status, answer.headers);
 		}
 	}
@@ -144,7 +152,9 @@
 	}
 
 	#handleEnd(): void {
-		if (this.#isStreaming) {
+		if (this.#isStreaming && this.#hasEvents && this.#reader.isInsideEvent) {
+			this.#reject('ended-inside-event');
+		} else if (this.#isStreaming) {
 			this.#finish({type: 'streaming', end: {type: 'complete'}});
 		} else {
 			const body = this.#buffer.take();
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -209,8 +209,9 @@
 					handlers.onData(chunk);
 				},
 				onEnd() {
-					release(attemptEnd);
+					// The handler may reject a response that is complete by its framing.
 					handlers.onEnd();
+					release(attemptEnd);
 				},
 				onFailure(failure) {
 					release('failed');
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -16,6 +16,7 @@
 	type IngressServerOptions,
 	type MalformedRequest,
 } from './ingress-server.ts';
+export {EventBoundary} from './event-boundary.ts';
 export {splitAddress} from './split-address.ts';
 export {
 	EventStreamReader,
