Complete the response of a turn only after it is recorded

Cause: a turn is recorded between its last event and the end of the response, but the length of the server was passed on, and a response with a length is complete with its last byte. Ruled out: a replica that lags; with chunks the same programs got no 404.

Change: CallerExchange.start drops the length like the other headers that frame a message.

--- a/packages/ingress/src/caller-exchange.ts
+++ b/packages/ingress/src/caller-exchange.ts
@@ -10,6 +10,12 @@
 const flattenHeaders = (headers: HeaderList): string[] =>
 	headers.flatMap(([name, value]) => [name, value]);
 
+/** Removes the headers that frame a message, since each connection has its own framing. */
+const removeFramingHeaders = (headers: HeaderList): HeaderList =>
+	removeHopByHopHeaders(headers).filter(
+		([name]) => name.toLowerCase() !== 'content-length',
+	);
+
 const createBodyTooLargeError = (limitBytes: number): RefusedError =>
 	new RefusedError(`The body has more than ${limitBytes} bytes.`, {
 		reason: 'body-too-large',
@@ -134,12 +140,15 @@
 		});
 	}
 
-	/** Sends the status and headers of a response whose body follows. */
+	/**
+	 * Sends the status and headers of a response whose body follows. The length that the headers announce is
+	 * dropped, because a response with a length is complete for the caller before {@link end} is called.
+	 */
 	start(status: number, headers: HeaderList): void {
 		if (!this.#isFinished) {
 			this.#response.writeHead(
 				status,
-				flattenHeaders(removeHopByHopHeaders(headers)),
+				flattenHeaders(removeFramingHeaders(headers)),
 			);
 			// Sends the head without waiting for the first chunk of the body.
 			this.#response.flushHeaders();
@@ -167,9 +176,6 @@
 			return;
 		}
 
-		const endToEndHeaders = removeHopByHopHeaders(headers).filter(
-			([name]) => name.toLowerCase() !== 'content-length',
-		);
 		const hasBody = status !== 204 && status !== 304;
 		const contentLength: HeaderList = hasBody
 			? [['Content-Length', String(body.length)]]
@@ -178,7 +184,7 @@
 		this.#sentBytes = body.length;
 		this.#response.writeHead(
 			status,
-			flattenHeaders([...endToEndHeaders, ...contentLength]),
+			flattenHeaders([...removeFramingHeaders(headers), ...contentLength]),
 		);
 		this.#response.end(this.method === 'HEAD' ? undefined : body);
 	}
--- a/packages/ingress/src/ingress-server.test.ts
+++ b/packages/ingress/src/ingress-server.test.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {CallerExchange} from './caller-exchange.ts';
 import {IngressServer, type MalformedRequest} from './ingress-server.ts';
@@ -73,6 +74,31 @@
 		expect(seen).toEqual([{target: '/a%2Fb?x=%00&y', body: 'abc\u0000\u00FF'}]);
 	});
 
+	it('completes a response with its end, although its headers announce a length', async () => {
+		// Guards against a caller that sees the whole response while the daemon still records it.
+		let exchange: CallerExchange | undefined;
+		const streams = new IngressServer({
+			address: '127.0.0.1:0',
+			onRequest(started) {
+				exchange = started;
+				started.start(200, [['Content-Length', '4']]);
+				started.write(Buffer.from('body'));
+			},
+		});
+		const response = await fetch(`http://127.0.0.1:${await streams.start()}/`);
+		let isComplete = false;
+		const reading = (async () => {
+			const text = await response.text();
+			isComplete = true;
+			return text;
+		})();
+		await sleep(50);
+		expect(isComplete).toBe(false);
+		exchange!.end();
+		expect(await reading).toBe('body');
+		await streams.stop();
+	});
+
 	describe('an ambiguous or malformed head', () => {
 		const heads: Array<[string, string]> = [
 			[
