Refuse requests that a draining entry might not complete

Cause: an entry accepts requests for 0.7 of its grace, whatever their time limit, and cuts what is left at the end. Ruled out: the process ends early; the cuts are at the stop deadline.

Change: mayOutlastStop; a draining daemon refuses a request whose deadline lies after its stop, at once and as not run, with Retry-After 0 and Connection: close.

--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -49,6 +49,7 @@
 	['timeout', 'the server did not answer in time'],
 	['server-', 'the connection to its server failed'],
 	['stream-', 'the stream from its server was interrupted'],
+	['draining', 'its entry daemon was about to stop'],
 	['body-', 'its body could not be read completely'],
 	['head-too-large', 'its headers were too large'],
 ];
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -22,6 +22,8 @@
 	/** Unique for each start of the process. */
 	incarnation: IncarnationId;
 	phase: MemberPhase;
+	/** Monotonic time at which the daemon stops, even if requests are in progress; set when it drains. */
+	stopAtMs?: number;
 	view: FleetView;
 	refusals: Counter;
 	retries: Counter;
--- a/packages/gateway/src/run-gateway.ts
+++ b/packages/gateway/src/run-gateway.ts
@@ -175,6 +175,7 @@
 		const {logger, settings} = this.#context;
 		const startedAtMs = performance.now();
 		this.#context.phase = 'draining';
+		this.#context.stopAtMs = startedAtMs + settings.timing.stopDeadlineMs;
 		logger.info({event: 'drain-started'});
 		await Promise.race([
 			this.#kernel.get<FleetService>('fleet').reportNow(),
@@ -194,7 +195,10 @@
 		await this.#kernel.stop();
 	}
 
-	/** Keeps serving while callers may have this address cached, then waits for in-flight requests. */
+	/**
+	 * Keeps serving while callers may have this address cached, except for requests that may outlast the stop,
+	 * then waits for in-flight requests.
+	 */
 	async #drainEntry(startedAtMs: number): Promise<void> {
 		const entry = this.#kernel.get<EntryService>('entry');
 		const {entryDrainMs, stopDeadlineMs} = this.#context.settings.timing;
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -10,6 +10,7 @@
 import {forwardPlain} from '../entry/forward-plain.ts';
 import {forwardStream} from '../entry/forward-stream.ts';
 import {forwardTurn} from '../entry/forward-turn.ts';
+import {mayOutlastStop} from '../entry/may-outlast-stop.ts';
 import {refuseRequest} from '../entry/refuse-request.ts';
 import type {RequestContext, RequestOutcome} from '../entry/request-context.ts';
 import {Upstreams} from '../entry/upstreams.ts';
@@ -20,6 +21,9 @@
 /** Retry delay for callers of a daemon without a valid configuration. */
 const UNCONFIGURED_RETRY_MS = 500;
 
+/** Retry delay for requests that a draining daemon does not accept; other daemons accept them at once. */
+const DRAINING_RETRY_MS = 0;
+
 /** Serves callers: routes each request by the current routing document and forwards it. */
 export class EntryService extends Service {
 	readonly #context: GatewayContext;
@@ -232,11 +236,22 @@
 		}
 
 		const timeLimitMs = Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
+		const deadlineMs = exchange.receivedAtMs + timeLimitMs;
 		const body = await this.#readBody(exchange, limits.bodySizeBytes);
 		if ('status' in body) {
 			return refuse(body.status, body.reason, body.message);
 		}
 
+		if (mayOutlastStop(deadlineMs, this.#context.stopAtMs)) {
+			exchange.closeAfterResponse();
+			return refuse(
+				503,
+				'draining',
+				'This daemon stops before the request may be complete. The request has not run.',
+				DRAINING_RETRY_MS,
+			);
+		}
+
 		return {
 			table,
 			request: {
@@ -245,7 +260,7 @@
 				route,
 				service: chooseService(route, Math.random()),
 				body: body.bytes,
-				deadlineMs: exchange.receivedAtMs + timeLimitMs,
+				deadlineMs,
 				documentVersion: version,
 				progress: {},
 			},
