Leave requests in progress nine tenths of a short grace

What callers would see: with a grace of less than 4.2 s, responses are cut before the last sixth of the grace although their servers would have finished.

Cause: the margin for the exit was 700 ms whatever the grace.

Change: the margin is at most a tenth of the grace; with 8 s it stays 700 ms.

--- a/packages/gateway/src/derive-timing.test.ts
+++ b/packages/gateway/src/derive-timing.test.ts
@@ -14,6 +14,18 @@
 		}
 	});
 
+	it('leaves requests in progress nearly all of a short grace', () => {
+		// Guards against responses that a stop cuts although their servers would have finished in time.
+		for (const stopGraceMs of [1000, 3000, 4000, 8000, 30_000]) {
+			const {stopDeadlineMs} = deriveTiming({
+				stopGraceMs,
+				addressTtlMaxMs: 5000,
+			});
+			expect(stopDeadlineMs).toBeGreaterThanOrEqual((stopGraceMs * 5) / 6);
+			expect(stopDeadlineMs).toBeLessThan(stopGraceMs);
+		}
+	});
+
 	it('respects the maximum address lifetime of the platform', () => {
 		const {addressTtlMs} = deriveTiming({
 			stopGraceMs: 30_000,
--- a/packages/gateway/src/derive-timing.ts
+++ b/packages/gateway/src/derive-timing.ts
@@ -11,8 +11,9 @@
 	addressTtlMaxMs: number;
 };
 
-/** Time that a process needs to exit after its last request. */
+/** Time that a process needs to exit after its last request, and its largest share of the grace. */
 const EXIT_MARGIN_MS = 700;
+const MAX_EXIT_SHARE = 0.1;
 
 /** Some callers cache addresses for three times their TTL. */
 const TTL_OVERRUN_FACTOR = 3;
@@ -33,7 +34,8 @@
 	stopGraceMs,
 	addressTtlMaxMs,
 }: PlatformLimits): GatewayTiming => {
-	const stopDeadlineMs = Math.max(0, stopGraceMs - EXIT_MARGIN_MS);
+	const exitMarginMs = Math.min(EXIT_MARGIN_MS, stopGraceMs * MAX_EXIT_SHARE);
+	const stopDeadlineMs = stopGraceMs - exitMarginMs;
 	const entryDrainMs = stopDeadlineMs * (1 - IN_FLIGHT_SHARE);
 	return {
 		...DEFAULT_GATEWAY_TIMING,
