Fail a tool call whose answer without a length is reset

What callers would see: half of a service's answer, recorded in the history as a whole one.

Change: its connection pools use the connector of upstream-http. Model calls were not affected, as they are complete only with the final event of their protocol.

--- a/packages/daemon/src/dispatcher/upstream-client.ts
+++ b/packages/daemon/src/dispatcher/upstream-client.ts
@@ -1,6 +1,7 @@
 import {messageOf} from '@marjoramcove/errors';
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import type {UpstreamId} from '@marjoramcove/types';
+import {createUpstreamConnector} from '@marjoramcove/upstream-http';
 import {Agent} from 'undici';
 import type {DaemonContext} from '../daemon-context.ts';
 import type {CallRun} from './call-run.ts';
@@ -9,15 +10,26 @@
 
 const connectTimeoutMs = 2000;
 
+/**
+ * Creates the connection pool for calls to upstreams.
+ *
+ * @example
+ * ```ts
+ * const dispatcher = createUpstreamAgent();
+ * ```
+ */
+export const createUpstreamAgent = (): Agent =>
+	new Agent({
+		pipelining: 1,
+		connect: createUpstreamConnector({timeoutMs: connectTimeoutMs}),
+	});
+
 /** Client for the upstreams: their connection pools and the calls over them. */
 export class UpstreamClient {
 	readonly #context: DaemonContext;
 	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
 	/** Closes each connection after one call; see {@link runToolCall}. */
-	readonly #singleUseAgent = new Agent({
-		pipelining: 1,
-		connect: {timeout: connectTimeoutMs},
-	});
+	readonly #singleUseAgent = createUpstreamAgent();
 
 	constructor(context: DaemonContext) {
 		this.#context = context;
@@ -71,7 +83,7 @@
 			void entry?.agent.close();
 			entry = {
 				address: spec.address,
-				agent: new Agent({pipelining: 1, connect: {timeout: connectTimeoutMs}}),
+				agent: createUpstreamAgent(),
 			};
 			this.#agents.set(name, entry);
 		}
