Limit what a daemon reads of one answer of an upstream

What callers would see: the process that serves them runs out of memory and ends, because one faulty server sends without end (a report of another operator). Entry and control daemons of gateway are not affected.

Cause: packages/daemon read answers of services whole before it measured them, and streams of engines without any limit.

Change: readBody and readJson of upstream-http; 1 MB between two events of a stream and answerSizeBytes of text.

--- a/packages/daemon/src/dispatcher/exported-copies.ts
+++ b/packages/daemon/src/dispatcher/exported-copies.ts
@@ -1,10 +1,14 @@
 import type {UpstreamResource} from '@marjoramcove/configuration';
 import type {ProgramId, UpstreamId} from '@marjoramcove/types';
+import {readJson} from '@marjoramcove/upstream-http';
 import {type Dispatcher, request} from 'undici';
 
 /** Limits how long a call waits for its import; recomputing a prefix takes seconds at most. */
 const transferTimeoutMs = 4000;
 
+/** Maximum size of an exported copy; the text of 300,000 tokens takes about 1.5 MB. */
+const maxCopyBytes = 16 * 1024 * 1024;
+
 type Copy = {upstreamId: UpstreamId; text: string; tokens: number};
 
 type EngineConnection = {upstream: UpstreamResource; dispatcher: Dispatcher};
@@ -30,7 +34,7 @@
 		);
 	}
 
-	return answer.body.json();
+	return readJson(answer.body, maxCopyBytes);
 };
 
 /**
--- a/packages/daemon/src/dispatcher/memory-reconciler.ts
+++ b/packages/daemon/src/dispatcher/memory-reconciler.ts
@@ -2,6 +2,7 @@
 import {planReleases} from '@marjoramcove/engine-control';
 import {shardOfProgram} from '@marjoramcove/programs';
 import type {ProgramId} from '@marjoramcove/types';
+import {readJson} from '@marjoramcove/upstream-http';
 import {type Dispatcher, request} from 'undici';
 import type {GroupClientService} from '../services/group-client-service.ts';
 import {shardGroup} from '../services/replication-service.ts';
@@ -9,6 +10,9 @@
 const engineTimeoutMs = 2000;
 const ownerTimeoutMs = 3000;
 
+/** Maximum size of the list of programs that an engine keeps; a program takes about 60 bytes. */
+const maxListBytes = 16 * 1024 * 1024;
+
 /** Asks the owners of the shards which of the programs have ended or are unknown. */
 export const findEndedPrograms = async (
 	programIds: ProgramId[],
@@ -61,7 +65,7 @@
 		bodyTimeout: engineTimeoutMs,
 	};
 	const {body} = await request(`${address}/v1/kv`, options);
-	const {programs} = (await body.json()) as {
+	const {programs} = (await readJson(body, maxListBytes)) as {
 		programs: Array<{programId: ProgramId; tokens: number}>;
 	};
 	const endedIds = await findEndedPrograms(
--- a/packages/daemon/src/dispatcher/run-model-call.ts
+++ b/packages/daemon/src/dispatcher/run-model-call.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createParser} from 'eventsource-parser';
+import {readBody} from '@marjoramcove/upstream-http';
 import {type Dispatcher, request} from 'undici';
 import {attemptKey, type Usage} from '../call-contracts.ts';
 import type {DaemonContext} from '../daemon-context.ts';
@@ -37,6 +38,12 @@
 
 const resumeDelayMs = 100;
 
+/** Maximum size of the body of an engine's error. */
+const maxErrorBytes = 64 * 1024;
+
+/** Maximum number of bytes between the ends of two events of a stream. */
+const maxEventBytes = 1024 * 1024;
+
 const applyChunk = (
 	run: CallRun,
 	progress: StreamProgress,
@@ -67,9 +74,12 @@
 	run: CallRun,
 	progress: StreamProgress,
 	body: Dispatcher.ResponseData['body'],
+	answerSizeBytes: number,
 ): Promise<void> => {
+	let unfinishedBytes = 0;
 	const parser = createParser({
 		onEvent(event) {
+			unfinishedBytes = 0;
 			if (progress.failureReason === undefined) {
 				try {
 					applyChunk(run, progress, event.data);
@@ -81,7 +91,12 @@
 	});
 	const decoder = new TextDecoder();
 	for await (const bytes of body) {
+		unfinishedBytes += (bytes as Uint8Array).length;
 		parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+		if (unfinishedBytes > maxEventBytes || run.text.length > answerSizeBytes) {
+			progress.failureReason = 'answer-too-large';
+		}
+
 		if (progress.failureReason !== undefined) {
 			body.destroy();
 			return;
@@ -166,13 +181,14 @@
 ): Promise<AttemptEnd | undefined> => {
 	const {statusCode, body} = await openStream(call, isResumed);
 	if (statusCode === 200) {
-		await readStream(call.run, progress, body);
+		const {answerSizeBytes} = call.context.settings.limits;
+		await readStream(call.run, progress, body, answerSizeBytes);
 		return progress.isDone
 			? {type: 'done', result: toResult(call.run, progress)}
 			: undefined;
 	}
 
-	const text = await body.text();
+	const text = await readBody(body, maxErrorBytes);
 	// The stream exists already when an earlier request arrived but its response was lost.
 	if (statusCode === 409 && !isResumed) {
 		return undefined;
@@ -185,7 +201,7 @@
 		};
 	}
 
-	return createRefusedEnd(statusCode, text);
+	return createRefusedEnd(statusCode, text.toString());
 };
 
 /**
@@ -208,6 +224,11 @@
 				return {type: 'lost', reason: 'engine-cancelled'};
 			}
 
+			if (progress.failureReason === 'answer-too-large') {
+				// The engine would send the same again.
+				return {type: 'lost', reason: 'answer-too-large'};
+			}
+
 			progress.failureReason = undefined;
 		} catch (error) {
 			if (run.abortController.signal.aborted || isUnsent(error)) {
--- a/packages/daemon/src/dispatcher/run-tool-call.test.ts
+++ b/packages/daemon/src/dispatcher/run-tool-call.test.ts
@@ -59,6 +59,33 @@
 		});
 	};
 
+	it('ends early at an answer without an end, and closes its connection', async () => {
+		// Guards against one faulty service that fills the memory of the daemon.
+		const piece = Buffer.alloc(65_536, 'a');
+		let sentBytes = 0;
+		let isClosed = false;
+		const end = await call((socket) => {
+			socket.on('close', () => {
+				isClosed = true;
+			});
+			socket.write('HTTP/1.1 200 OK\r\n\r\n');
+			const fill = () => {
+				do {
+					sentBytes += piece.length;
+				} while (!socket.destroyed && socket.write(piece));
+			};
+
+			socket.on('drain', fill);
+			fill();
+		});
+		expect(end).toMatchObject({
+			type: 'done',
+			result: {outcome: {status: 'failed', reason: 'answer-too-large'}},
+		});
+		await expect.poll(() => isClosed).toBe(true);
+		expect(sentBytes).toBeLessThan(32 * 1024 * 1024);
+	});
+
 	describe('an answer without a length', () => {
 		const sendHalf = (socket: Socket) => {
 			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf');
--- a/packages/daemon/src/dispatcher/run-tool-call.ts
+++ b/packages/daemon/src/dispatcher/run-tool-call.ts
@@ -1,3 +1,4 @@
+import {readBody, ResponseTooLargeError} from '@marjoramcove/upstream-http';
 import {type Dispatcher, request} from 'undici';
 import type {AttemptResult, CallRun} from './call-run.ts';
 import type {AttemptEnd} from './run-model-call.ts';
@@ -117,11 +118,11 @@
 	const timeout = AbortSignal.timeout(remainingMs);
 	try {
 		const answer = await sendOperation(call, remainingMs, timeout);
-		const content = await answer.body.text();
-		return Buffer.byteLength(content) > answerSizeBytes
-			? createFailure('ran', 'answer-too-large', 'The answer is too large.')
-			: endWithResponse(run, answer, content);
+		const content = await readBody(answer.body, answerSizeBytes);
+		return endWithResponse(run, answer, content.toString());
 	} catch (error) {
-		return endWithError(run, error, timeout.aborted);
+		return error instanceof ResponseTooLargeError
+			? createFailure('ran', 'answer-too-large', error.message)
+			: endWithError(run, error, timeout.aborted);
 	}
 };
--- a/packages/daemon/src/services/engine-controller-service.ts
+++ b/packages/daemon/src/services/engine-controller-service.ts
@@ -11,6 +11,7 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {UpstreamId} from '@marjoramcove/types';
 import PQueue from 'p-queue';
+import {readJson} from '@marjoramcove/upstream-http';
 import {Agent, request} from 'undici';
 import type {DaemonContext} from '../daemon-context.ts';
 import type {ConfigurationService} from './configuration-service.ts';
@@ -21,6 +22,9 @@
 const requestTimeoutMs = 2000;
 const weightLoadTimeoutMs = 600_000;
 
+/** Maximum size of the state that an engine reports. */
+const maxStateBytes = 4 * 1024 * 1024;
+
 type OrderOutcome = Extract<
 	ControllerEvent,
 	{type: 'order-answered'}
@@ -229,7 +233,7 @@
 				`${this.#addressOf(upstreamId)}/v1/state`,
 				this.#timeouts(requestTimeoutMs),
 			);
-			const report = (await body.json()) as EngineState;
+			const report = (await readJson(body, maxStateBytes)) as EngineState;
 			if (statusCode !== 200) {
 				throw new Error(`status ${statusCode}`);
 			}
--- a/packages/daemon/src/services/upstreams-service.ts
+++ b/packages/daemon/src/services/upstreams-service.ts
@@ -12,6 +12,7 @@
 	isUpstreamLeaving,
 } from '@marjoramcove/membership';
 import type {DaemonId, UpstreamId} from '@marjoramcove/types';
+import {readJson} from '@marjoramcove/upstream-http';
 import {Agent, request} from 'undici';
 import type {DaemonContext} from '../daemon-context.ts';
 import type {ConfigurationService} from './configuration-service.ts';
@@ -30,6 +31,9 @@
 const failuresUntilUnhealthy = 2;
 const loadLifetimeMs = 5000;
 
+/** Maximum size of a health check, a load report and the VM list. */
+const maxReportBytes = 4 * 1024 * 1024;
+
 /** Leaving or unhealthy state of an upstream, as its dispatcher reports it in heartbeats. */
 export type UpstreamNotice = {
 	upstreamId: UpstreamId;
@@ -334,7 +338,7 @@
 			bodyTimeout: timeoutMs,
 			signal: AbortSignal.timeout(timeoutMs),
 		});
-		const parsed = (await body.json()) as Body;
+		const parsed = (await readJson(body, maxReportBytes)) as Body;
 		if (statusCode !== 200) {
 			throw new Error(`status ${statusCode}`);
 		}
