Skip list entries that describe no usable server

What callers would see: 502 for requests that were sent nowhere, again and again, once another writer leaves an entry with a port out of range among the servers (a report of another operator).

Cause: the schema of an entry checked shapes only, and an invalid address threw while its request was sent, past the failure handlers and with the verdict of an unknown error. The VM list of packages/daemon was not checked at all, so that one odd entry stopped it from being followed. Ruled out: deep nesting and numbers beyond the largest one end no process.

--- a/packages/daemon/src/services/upstreams-service.ts
+++ b/packages/daemon/src/services/upstreams-service.ts
@@ -16,6 +16,7 @@
 import {Agent, request} from 'undici';
 import type {DaemonContext} from '../daemon-context.ts';
 import type {ConfigurationService} from './configuration-service.ts';
+import {decodeVmList} from './decode-vm-list.ts';
 
 /** Failed health checks and last load report of an upstream. */
 type UpstreamHealth = {
@@ -60,6 +61,7 @@
 	#reportedNotices = new Map<UpstreamId, UpstreamNotice>();
 	#configuration!: ConfigurationService;
 	#timers: NodeJS.Timeout[] = [];
+	#skippedVms = 0;
 	#state = createMembershipState({
 		epoch: 'upstreams',
 		nowMs: performance.now(),
@@ -346,12 +348,31 @@
 		return parsed;
 	}
 
+	#recordSkippedVms(skippedEntries: number): void {
+		if (skippedEntries === this.#skippedVms) {
+			return;
+		}
+
+		this.#skippedVms = skippedEntries;
+		this.#context.metrics
+			.gauge(
+				'marjoramcove_vm_list_skipped_entries',
+				'Entries of the last reading of the list that describe no VM.',
+			)
+			.set(skippedEntries);
+		this.#context.logger.warn({
+			event: 'vm-list-entries-skipped',
+			skippedEntries,
+		});
+	}
+
 	async #readVmList(url: string): Promise<void> {
 		const readAtMs = performance.now();
 		try {
-			const {vms} = await this.#fetchJson<{
-				vms: Array<{address: string; state: 'live' | 'leaving'}>;
-			}>(url);
+			const {vms, skippedEntries} = decodeVmList(
+				await this.#fetchJson<unknown>(url),
+			);
+			this.#recordSkippedVms(skippedEntries);
 			this.#step({type: 'vm-list', readAtMs, vms});
 		} catch (error) {
 			this.#context.retries.increment({
--- a/packages/ingress/src/upstream-client.test.ts
+++ b/packages/ingress/src/upstream-client.test.ts
@@ -94,6 +94,15 @@
 		expect(failure).toMatchObject({verdict: 'not-run', code: 'ECONNREFUSED'});
 	});
 
+	it('fails with not-run when the address is invalid', async () => {
+		// Guards against an odd entry in the list of servers whose requests count as possibly run.
+		const {failure} = await send('127.0.0.1:99999');
+		expect(failure).toMatchObject({
+			verdict: 'not-run',
+			code: 'INVALID_ADDRESS',
+		});
+	});
+
 	describe('an incomplete or invalid response', () => {
 		const responses: Array<[string, string]> = [
 			[
--- a/packages/ingress/src/upstream-client.ts
+++ b/packages/ingress/src/upstream-client.ts
@@ -70,6 +70,11 @@
 /** Disables the timeouts for response heads and bodies, which are only forwarded. */
 const NO_TIMEOUT = 0;
 
+const createAddressError = ({address}: UpstreamTarget) =>
+	Object.assign(new Error(`The address ${address} is invalid.`), {
+		code: 'INVALID_ADDRESS',
+	});
+
 const flattenHeaders = (headers: HeaderList): string[] =>
 	headers.flatMap(([name, value]) => [name, value]);
 
@@ -93,7 +98,16 @@
 		handlers: ExchangeHandlers,
 	): UpstreamExchange {
 		const exchange = new Exchange(handlers);
-		this.#poolFor(target).dispatch(
+		const pool = this.#poolFor(target);
+		if (!pool) {
+			// Handlers are never called before the caller has the exchange.
+			queueMicrotask(() => {
+				exchange.onResponseError(undefined, createAddressError(target));
+			});
+			return exchange;
+		}
+
+		pool.dispatch(
 			{
 				method: request.method,
 				path: request.target,
@@ -129,9 +143,14 @@
 		await Promise.all(pools.map(async (pool) => pool.destroy()));
 	}
 
-	#poolFor({key, address, maxConnections}: UpstreamTarget): Pool {
+	/** Returns the connection pool of a server; `undefined` if its address is invalid. */
+	#poolFor({key, address, maxConnections}: UpstreamTarget): Pool | undefined {
 		let pool = this.#pools.get(key);
 		if (!pool) {
+			if (!URL.canParse(`http://${address}`)) {
+				return undefined;
+			}
+
 			pool = new Pool(`http://${address}`, {
 				connections: maxConnections,
 				pipelining: 1,
@@ -229,7 +248,7 @@
 	}
 
 	onResponseError(
-		_controller: Dispatcher.DispatchController,
+		_controller: Dispatcher.DispatchController | undefined,
 		error: NodeJS.ErrnoException,
 	): void {
 		if (!this.#hasEnded) {
