Give servers that announce their leaving no new requests

Requests that waited in a connection pool were sent to a leaving server whenever a connection became free.

Change: Server-Leaving is decoded in the adapter; LeavingNotices keeps what the server, the list and other entries say of one instance; waiting attempts are withdrawn and placed anew; when all servers of a service leave, they are used for 0.3 of their remaining time and then requests are refused at once. Other entries are told with the exchange of loads, and such reports only make a server the second choice.

The test 'excludes servers that are leaving according to the list or to themselves' expected that a service whose servers all leave has no candidate from the first moment. It is replaced by a group of tests that expect none after the time of use and, while others stay, none of those that leave.

--- a/packages/balancer/src/affinity-ranking.test.ts
+++ b/packages/balancer/src/affinity-ranking.test.ts
@@ -23,6 +23,7 @@
 			slots: SLOTS,
 			isLeaving: false,
 		})),
+		0,
 	);
 	return placement;
 };
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -9,7 +9,10 @@
 export {type InFlightByServer, LoadReports} from './load-reports.ts';
 export {SharedPartLog, type SharedPartLogPosition} from './shared-part-log.ts';
 export {SharedPartDetector} from './shared-part-detector.ts';
+export {LeavingNotices, type LeavingSource} from './leaving-notices.ts';
+export {LeavingReports, type ReportedLeaving} from './leaving-reports.ts';
 export {
+	type AppliedUpdate,
 	Placement,
 	type PlacementUpdate,
 	type PlacementOptions,
--- a/packages/balancer/src/placement.test.ts
+++ b/packages/balancer/src/placement.test.ts
@@ -15,6 +15,7 @@
 			slots: 8,
 			isLeaving: false,
 		})),
+		0,
 	);
 	return placement;
 };
--- a/packages/balancer/src/placement.ts
+++ b/packages/balancer/src/placement.ts
@@ -8,6 +8,7 @@
 } from './choose-server.ts';
 import type {InFlightByServer} from './load-reports.ts';
 import {DaemonRanking} from './daemon-ranking.ts';
+import type {ReportedLeaving} from './leaving-reports.ts';
 import type {ReportedRates} from './rate-statements.ts';
 import {SharedPartDetector} from './shared-part-detector.ts';
 import type {PromptPart} from './prefix-cache-estimate.ts';
@@ -41,11 +42,21 @@
 	shared: readonly SharedPart[];
 	/** Request rates that servers stated recently; absent in updates of an earlier version. */
 	rates?: ReportedRates;
+	/** Servers that recently announced that they are leaving; absent in updates of an earlier version. */
+	leaving?: ReportedLeaving;
+};
+
+/** Servers of which an update of other daemons told something new. */
+export type AppliedUpdate = {
+	rateChanged: ServerLoad[];
+	startedLeaving: ServerLoad[];
 };
 
 export type PlacementOptions = {
 	/** Zone of this daemon. */
 	zone: string;
+	/** Time for which a leaving server may still get requests that no other server can take. */
+	leavingUseMs?: number;
 	settings?: BalancerSettings;
 	random?: () => number;
 };
@@ -57,13 +68,13 @@
  * @example
  * ```ts
  * const placement = new Placement({zone: 'a'});
- * placement.replaceServers(servers);
+ * placement.replaceServers(servers, performance.now());
  * const load = placement.choose(request, performance.now());
  * ```
  */
 export class Placement {
-	readonly #options: Required<PlacementOptions>;
-	readonly #table = new ServerTable();
+	readonly #options: Required<Omit<PlacementOptions, 'leavingUseMs'>>;
+	readonly #table: ServerTable;
 	readonly #sharedParts = new SharedPartDetector();
 	/** Shared parts that are not yet announced to other daemons, by server and part. */
 	readonly #unannounced = new Map<string, SharedPart>();
@@ -72,8 +83,10 @@
 		settings = DEFAULT_BALANCER_SETTINGS,
 		random = Math.random,
 		zone,
+		leavingUseMs = 0,
 	}: PlacementOptions) {
 		this.#options = {settings, random, zone};
+		this.#table = new ServerTable({leavingUseMs});
 	}
 
 	/** All known servers with their load. */
@@ -81,9 +94,26 @@
 		return this.#table.all();
 	}
 
-	/** Applies a new server list; the load, health and cache of restarted servers are reset. */
-	replaceServers(servers: readonly ListedServer[]): void {
-		this.#table.replace(servers);
+	/**
+	 * Applies a new server list; the load, health and cache of restarted servers are reset.
+	 *
+	 * @returns the servers that are listed as leaving for the first time.
+	 */
+	replaceServers(
+		servers: readonly ListedServer[],
+		nowMs: number,
+	): ServerLoad[] {
+		return this.#table.replace(servers, nowMs);
+	}
+
+	/** Whether another server of the service takes requests and is not known to be leaving. */
+	hasStayingServer(service: string): boolean {
+		return this.#table.hasStayingServer(service);
+	}
+
+	/** Time until which a leaving server may get requests; `Infinity` if it is not leaving. */
+	usableUntilMs(load: ServerLoad): number {
+		return this.#table.usableUntilMs(load);
 	}
 
 	/** Applies the list of the daemons that send requests to the servers. */
@@ -180,20 +210,20 @@
 			inFlight: this.#table.countInFlight(),
 			shared,
 			rates: this.#table.reportRates(nowMs),
+			leaving: this.#table.reportLeaving(nowMs),
 		};
 	}
 
-	/**
-	 * Applies an update of other daemons.
-	 *
-	 * @returns the servers whose stated rate changed.
-	 */
+	/** Applies an update of other daemons. */
 	applyUpdate(
-		{inFlight, shared, rates = {}}: PlacementUpdate,
+		{inFlight, shared, rates = {}, leaving = {}}: PlacementUpdate,
 		nowMs: number,
-	): ServerLoad[] {
+	): AppliedUpdate {
 		this.#table.setOthersInFlight(inFlight);
 		this.#table.recordSharedParts(shared, nowMs);
-		return this.#table.recordReportedRates(rates, nowMs);
+		return {
+			rateChanged: this.#table.recordReportedRates(rates, nowMs),
+			startedLeaving: this.#table.recordReportedLeaving(leaving, nowMs),
+		};
 	}
 }
--- a/packages/balancer/src/server-health.test.ts
+++ b/packages/balancer/src/server-health.test.ts
@@ -140,6 +140,7 @@
 				slots: 6,
 				isLeaving: false,
 			})),
+			0,
 		);
 		const running: Array<{endsAtMs: number; finish: (nowMs: number) => void}> =
 			[];
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -5,6 +5,8 @@
 	hashText,
 	type UpstreamId,
 } from '@marjoramcove/types';
+import {LeavingNotices} from './leaving-notices.ts';
+import {type ReportedLeaving, reportLeaving} from './leaving-reports.ts';
 import {type PromptPart, PrefixCacheEstimate} from './prefix-cache-estimate.ts';
 import {ServerHealth, type BaselineDurations} from './server-health.ts';
 import {DaemonRanking} from './daemon-ranking.ts';
@@ -29,8 +31,8 @@
 	othersInFlight: number;
 	/** The server refused a request and is avoided until this time of the monotonic clock. */
 	avoidUntilMs: number;
-	/** The server itself announced that it is leaving; the server list may not show it yet. */
-	isClosing: boolean;
+	/** What is known of its leaving. */
+	leaving: LeavingNotices;
 	/** Prompt parts that the server presumably caches, sent by this daemon or announced by others. */
 	prefixCache: PrefixCacheEstimate;
 	/** Health, as observed by this daemon. */
@@ -49,7 +51,7 @@
 	inFlight: 0,
 	othersInFlight: 0,
 	avoidUntilMs: 0,
-	isClosing: false,
+	leaving: new LeavingNotices(),
 	prefixCache: new PrefixCacheEstimate(),
 	health: new ServerHealth(baseline),
 	rateShare: new RateShare(hashText(server.id)),
@@ -64,7 +66,7 @@
  * @example
  * ```ts
  * const table = new ServerTable();
- * table.replace(servers);
+ * table.replace(servers, performance.now());
  * ```
  */
 export class ServerTable {
@@ -74,9 +76,15 @@
 		chunkGap: new DurationAverages(),
 	};
 
+	readonly #leavingUseMs: number;
 	#loads = new Map<UpstreamId, ServerLoad>();
 	#ranking = new DaemonRanking(asId<DaemonId>(''), []);
 
+	/** @param leavingUseMs - time for which a leaving server may still get requests that no other can take. */
+	constructor({leavingUseMs = 0}: {leavingUseMs?: number} = {}) {
+		this.#leavingUseMs = leavingUseMs;
+	}
+
 	/** Applies the list of the daemons that send requests, among which the rates of servers are shared. */
 	setDaemons(ranking: DaemonRanking, nowMs: number): void {
 		this.#ranking = ranking;
@@ -136,10 +144,13 @@
 
 	/**
 	 * Applies a new server list. A server that restarted under the same id starts without load,
-	 * failures or cache.
+	 * failures or cache, and without the announcement that its earlier instance was leaving.
+	 *
+	 * @returns the servers that are listed as leaving for the first time.
 	 */
-	replace(servers: readonly ListedServer[]): void {
+	replace(servers: readonly ListedServer[], nowMs: number): ServerLoad[] {
 		const next = new Map<UpstreamId, ServerLoad>();
+		const startedLeaving: ServerLoad[] = [];
 		for (const server of servers) {
 			const known = this.#loads.get(server.id);
 			const isSameInstance =
@@ -149,13 +160,55 @@
 				known.server = server;
 			}
 
-			next.set(
-				server.id,
-				known && isSameInstance ? known : createLoad(server, this.#baseline),
-			);
+			const load =
+				known && isSameInstance ? known : createLoad(server, this.#baseline);
+			next.set(server.id, load);
+			if (load.leaving.setListed(server.isLeaving, nowMs)) {
+				startedLeaving.push(load);
+			}
 		}
 
 		this.#loads = next;
+		return startedLeaving;
+	}
+
+	/** Returns the recent announcements of leaving servers to this daemon. */
+	reportLeaving(nowMs: number): Record<string, number> {
+		const announced = [...this.#loads.values()].flatMap(({key, leaving}) =>
+			leaving.answeredAtMs === undefined
+				? []
+				: [[key, leaving.answeredAtMs] as const],
+		);
+		return reportLeaving(announced, nowMs);
+	}
+
+	/**
+	 * Records the announcements of leaving servers to other daemons.
+	 *
+	 * @returns the servers whose leaving was not known.
+	 */
+	recordReportedLeaving(ages: ReportedLeaving, nowMs: number): ServerLoad[] {
+		return Object.keys(ages).length === 0
+			? []
+			: [...this.#loads.values()].filter(({key, leaving}) => {
+					const ageMs = ages[key];
+					return ageMs !== undefined && leaving.recordReport(nowMs - ageMs);
+				});
+	}
+
+	/** Whether another server of the service takes requests and is not known to be leaving. */
+	hasStayingServer(service: string): boolean {
+		return [...this.#loads.values()].some(
+			({server, leaving}) => server.service === service && leaving.isStaying,
+		);
+	}
+
+	/** Time until which a leaving server may get requests that no other server can take. */
+	usableUntilMs({leaving}: ServerLoad): number {
+		const {leavingSinceMs} = leaving;
+		return leavingSinceMs === undefined
+			? Infinity
+			: leavingSinceMs + this.#leavingUseMs;
 	}
 
 	/** Replaces the in-flight requests of other daemons, given by server id. */
@@ -187,7 +240,7 @@
 		nowMs: number,
 		excludedIds: ReadonlySet<UpstreamId> = new Set(),
 	): ServerLoad[] {
-		const accepting = this.#accepting(service);
+		const accepting = this.#accepting(service, nowMs, excludedIds);
 		const permitted = accepting.filter(
 			({rateShare}) => rateShare.nextPermitAtMs <= nowMs,
 		);
@@ -200,11 +253,10 @@
 		}
 
 		const mayWait = accepting.some(
-			({server, rateShare, health}) =>
+			({rateShare, health}) =>
 				rateShare.isLimited &&
 				rateShare.nextPermitAtMs < Infinity &&
-				!health.isAvoided(nowMs) &&
-				!excludedIds.has(server.id),
+				!health.isAvoided(nowMs),
 		);
 		return mayWait ? [] : permitted;
 	}
@@ -218,9 +270,7 @@
 		excludedIds: ReadonlySet<UpstreamId>,
 		nowMs: number,
 	): number | undefined {
-		const open = this.#accepting(service).filter(
-			({server}) => !excludedIds.has(server.id),
-		);
+		const open = this.#accepting(service, nowMs, excludedIds);
 		if (!open.some(({rateShare}) => rateShare.isLimited)) {
 			return open.length > 0 ? nowMs : undefined;
 		}
@@ -237,11 +287,29 @@
 		return [...this.#loads.values()];
 	}
 
-	/** Servers of a service that are not leaving. */
-	#accepting(service: string): ServerLoad[] {
-		return [...this.#loads.values()].filter(
-			({server, isClosing}) =>
-				server.service === service && !server.isLeaving && !isClosing,
+	/**
+	 * Servers of a service that a request may still be sent to: those that stay; if there are none, those whose
+	 * leaving only other daemons report; and if there are none either, those that are
+	 * known to be leaving since a short time.
+	 */
+	#accepting(
+		service: string,
+		nowMs: number,
+		excludedIds: ReadonlySet<UpstreamId>,
+	): ServerLoad[] {
+		const open = [...this.#loads.values()].filter(
+			({server}) => server.service === service && !excludedIds.has(server.id),
+		);
+		const staying = open.filter(({leaving}) => leaving.isStaying);
+		if (staying.length > 0) {
+			return staying;
+		}
+
+		const unconfirmed = open.filter(
+			({leaving}) => leaving.leavingSinceMs === undefined,
 		);
+		return unconfirmed.length > 0
+			? unconfirmed
+			: open.filter((load) => nowMs < this.usableUntilMs(load));
 	}
 }
--- a/packages/gateway/src/derive-timing.ts
+++ b/packages/gateway/src/derive-timing.ts
@@ -7,6 +7,8 @@
 export type PlatformLimits = {
 	/** Time between SIGTERM and SIGKILL. */
 	stopGraceMs: number;
+	/** Time for which a leaving server still serves; absent if the platform states none. */
+	serverDrainMs?: number;
 	/** Longest time for which callers cache addresses, regardless of the TTL in the response. */
 	addressTtlMaxMs: number;
 };
@@ -15,6 +17,12 @@
 const EXIT_MARGIN_MS = 700;
 const MAX_EXIT_SHARE = 0.1;
 
+/**
+ * Share of the time for which a leaving server still serves, in which it may get requests that no other server
+ * can take. The rest covers the delay of the news and the requests themselves.
+ */
+const LEAVING_USE_SHARE = 0.3;
+
 /** Some callers cache addresses for three times their TTL. */
 const TTL_OVERRUN_FACTOR = 3;
 
@@ -32,6 +40,7 @@
  */
 export const deriveTiming = ({
 	stopGraceMs,
+	serverDrainMs,
 	addressTtlMaxMs,
 }: PlatformLimits): GatewayTiming => {
 	const exitMarginMs = Math.min(EXIT_MARGIN_MS, stopGraceMs * MAX_EXIT_SHARE);
@@ -41,6 +50,9 @@
 		...DEFAULT_GATEWAY_TIMING,
 		stopDeadlineMs,
 		entryDrainMs,
+		...(serverDrainMs !== undefined && {
+			leavingServerUseMs: Math.floor(serverDrainMs * LEAVING_USE_SHARE),
+		}),
 		addressTtlMs: Math.min(
 			DEFAULT_GATEWAY_TIMING.addressTtlMs,
 			addressTtlMaxMs,
--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -42,6 +42,9 @@
 			requestId: findHeader(headers, 'x-request') as RequestId | undefined,
 			isNotRun: findHeader(headers, 'x-not-run') !== undefined,
 			isSigned: findHeader(headers, 'x-signature') !== undefined,
+			isServerLeaving: findHeader(headers, 'x-leaving') === '1',
+			unreadableHeaders:
+				findHeader(headers, 'x-leaving') === 'odd' ? ['x-leaving'] : [],
 			requestsPerSecond: limit === undefined ? undefined : Number(limit),
 		};
 	}
@@ -213,7 +216,11 @@
 	readonly #server: IngressServer;
 	#port = 0;
 
-	private constructor(context: GatewayContext, forward: Forward, route: Route) {
+	private constructor(
+		readonly context: GatewayContext,
+		forward: Forward,
+		route: Route,
+	) {
 		this.upstreams = new Upstreams(context);
 		const table = new RouteTable({
 			version: 1,
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -19,7 +19,9 @@
 import type {UpstreamId} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
 import {logRateChange} from './log-rate-change.ts';
+import {logServerLeaving} from './log-server-leaving.ts';
 import type {RequestContext} from './request-context.ts';
+import {UnsentAttempts} from './unsent-attempts.ts';
 
 /** Time for which a server is avoided that is shutting down or is not the instance that was addressed. */
 const AVOID_LEAVING_MS = 1000;
@@ -82,19 +84,47 @@
 	readonly bufferMemory = new BufferMemory(MAX_BUFFERED_BYTES);
 	readonly #context: GatewayContext;
 	readonly #client = new UpstreamClient();
+	readonly #unsent = new UnsentAttempts();
+	/** Timers that withdraw the attempts still waiting for a leaving server, by its key. */
+	readonly #withdrawalTimers = new Map<string, NodeJS.Timeout>();
+	/** Instances of servers whose unreadable headers have been logged. */
+	readonly #unreadable = new WeakSet<ServerLoad>();
 
 	constructor(context: GatewayContext) {
 		this.#context = context;
-		this.placement = new Placement({zone: context.settings.zone});
+		const {zone, timing} = context.settings;
+		this.placement = new Placement({
+			zone,
+			leavingUseMs: timing.leavingServerUseMs,
+		});
 	}
 
 	/** Adopts the servers of the current view. */
 	updateServers(): void {
-		this.placement.replaceServers(this.#context.view.servers);
-		this.#client.retain(new Set(this.placement.servers.map(({key}) => key)));
+		const startedLeaving = this.placement.replaceServers(
+			this.#context.view.servers,
+			performance.now(),
+		);
+		const keys = new Set(this.placement.servers.map(({key}) => key));
+		for (const key of this.#unsent.keys) {
+			if (!keys.has(key)) {
+				this.#unsent.withdraw(key);
+			}
+		}
+
+		this.#client.retain(keys);
+		for (const load of startedLeaving) {
+			logServerLeaving(this.#context, load, 'list');
+			this.#withdrawFromLeaving(load);
+		}
 	}
 
 	async close(): Promise<void> {
+		for (const timer of this.#withdrawalTimers.values()) {
+			clearTimeout(timer);
+		}
+
+		this.#withdrawalTimers.clear();
 		await this.#client.close();
 	}
 
@@ -167,11 +197,25 @@
 		const release = (end: AttemptOutcome) => {
 			if (!isReleased) {
 				isReleased = true;
+				removeUnsent();
 				this.placement.recordEnd(load);
 				this.#recordAttemptEnd(load, attempt, end);
 			}
 		};
 
+		const removeUnsent = this.#unsent.add(load.key, () => {
+			release('cancelled');
+			upstreamExchange.cancel();
+			handlers.onFailure({
+				verdict: 'not-run',
+				code: 'server-leaving',
+				message: 'The server is leaving.',
+			});
+		});
+		if (load.leaving.leavingSinceMs !== undefined) {
+			this.#scheduleWithdrawal(load);
+		}
+
 		this.placement.recordSent(
 			load,
 			createPlacementRequest(request, NO_EXCLUDED_IDS),
@@ -196,11 +240,15 @@
 				body,
 			},
 			{
-				onSent: handlers.onSent,
+				onSent() {
+					removeUnsent();
+					handlers.onSent?.();
+				},
 				onStart: (answer) => {
 					const head = headCodec.decodeResponse(answer.status, answer.headers);
 					this.#avoidIfNotRun(load, answer, head);
 					this.#recordRate(load, request, answer, head);
+					this.#recordLeaving(load, request, answer, head);
 					attemptEnd = classifyResponse(answer, head);
 					handlers.onStart({...answer, head});
 				},
@@ -255,6 +303,66 @@
 			performance.now() + (isLeaving ? AVOID_LEAVING_MS : AVOID_FULL_MS);
 	}
 
+	/** Records that the server announces in its response that it is leaving. */
+	#recordLeaving(
+		load: ServerLoad,
+		{head: {requestId}}: RequestContext,
+		{status}: ResponseStart,
+		head: ResponseHead,
+	): void {
+		if (head.unreadableHeaders.length > 0 && !this.#unreadable.has(load)) {
+			this.#unreadable.add(load);
+			this.#context.logger.warn({
+				event: 'response-headers-unreadable',
+				server: load.server.id,
+				service: load.server.service,
+				headers: head.unreadableHeaders.join(','),
+			});
+		}
+
+		// Another instance may answer 421 at the address, and a late response belongs to an earlier one.
+		const isOfServer = head.requestId === requestId && status !== 421;
+		if (!head.isServerLeaving || !isOfServer) {
+			return;
+		}
+
+		if (load.leaving.recordAnswer(performance.now())) {
+			logServerLeaving(this.#context, load, 'answer');
+			this.#withdrawFromLeaving(load);
+		}
+	}
+
+	/**
+	 * Withdraws the attempts that wait for a connection to a leaving server: at once if another server can take
+	 * them, otherwise when the server may not be used any longer.
+	 */
+	#withdrawFromLeaving(load: ServerLoad): void {
+		const {key, server} = load;
+		if (this.placement.hasStayingServer(server.service)) {
+			this.#unsent.withdraw(key);
+		} else {
+			this.#scheduleWithdrawal(load);
+		}
+	}
+
+	/** Withdraws the attempts that still wait for a leaving server once it may not be used any longer. */
+	#scheduleWithdrawal(load: ServerLoad): void {
+		const {key} = load;
+		if (this.#withdrawalTimers.has(key)) {
+			return;
+		}
+
+		const delayMs = this.placement.usableUntilMs(load) - performance.now();
+		const timer = setTimeout(
+			() => {
+				this.#withdrawalTimers.delete(key);
+				this.#unsent.withdraw(key);
+			},
+			Math.max(0, delayMs),
+		);
+		this.#withdrawalTimers.set(key, timer);
+	}
+
 	/** Records the request rate that the response of the server states. */
 	#recordRate(
 		load: ServerLoad,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -12,6 +12,8 @@
 	configurationLeaseMs: number;
 	/** Interval at which the server list is read. */
 	inventoryPollMs: number;
+	/** Time for which a leaving server may still get requests that no other server can take. */
+	leavingServerUseMs: number;
 	/** Time for which callers may cache addresses. */
 	addressTtlMs: number;
 	/** Time after SIGTERM for which an entry daemon keeps serving callers that cached its address. */
@@ -67,6 +69,7 @@
 	memberTimeoutMs: 2000,
 	configurationLeaseMs: 10_000,
 	inventoryPollMs: 700,
+	leavingServerUseMs: 900,
 	addressTtlMs: 1500,
 	entryDrainMs: 5000,
 	stopDeadlineMs: 7500,
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -113,6 +113,8 @@
 	shared: z.array(sharedPartSchema),
 	/** Absent in reports of daemons of an earlier version. */
 	rates: reportedRatesSchema.default({}),
+	/** Ages of the announcements of leaving servers. Absent in reports of daemons of an earlier version. */
+	leaving: z.record(z.string(), z.number()).default({}),
 	/** Position up to which the sender has read the reports of this relay. */
 	position: z.object({ledgerId: z.string(), sequence: z.number()}).optional(),
 });
--- a/packages/gateway/src/services/load-exchange-services.ts
+++ b/packages/gateway/src/services/load-exchange-services.ts
@@ -3,6 +3,7 @@
 import {
 	deriveExchangeIntervalMs,
 	type InFlightByServer,
+	LeavingReports,
 	LoadReports,
 	RateStatements,
 	SharedPartLog,
@@ -12,6 +13,7 @@
 } from '@marjoramcove/balancer';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {logRateChange} from '../entry/log-rate-change.ts';
+import {logServerLeaving} from '../entry/log-server-leaving.ts';
 import {loadReportInput, type LoadReportOutput} from '../peer-messages.ts';
 import type {GatewayContext} from '../gateway-context.ts';
 import type {FleetService} from './fleet-service.ts';
@@ -47,6 +49,8 @@
 	readonly #sharedParts: SharedPartLog;
 	/** Request rates that servers stated to entry daemons. */
 	readonly #rates = new RateStatements();
+	/** Announcements of leaving servers to entry daemons. */
+	readonly #leaving = new LeavingReports();
 	/** Shared parts reported by children since the last message to the other control daemons. */
 	#unsentParts: SharedPart[] = [];
 	#peers!: PeersService;
@@ -68,14 +72,16 @@
 		network.handle(
 			'news.exchange',
 			loadReportInput,
-			async ({from, inFlight, shared, rates, position}) => {
+			async ({from, inFlight, shared, rates, leaving, position}) => {
 				const nowMs = performance.now();
 				this.#childLoads.record(from, inFlight, nowMs);
 				this.#sharedParts.append(from, shared, nowMs);
 				this.#unsentParts.push(...shared);
 				this.#rates.record(rates, nowMs);
+				this.#leaving.record(leaving, nowMs);
 				return {
 					rates: this.#rates.report(nowMs),
+					leaving: this.#leaving.report(nowMs),
 					inFlight: addLoads(
 						this.#childLoads.sumOfOthers(from, nowMs),
 						this.#peerLoads.sumOfOthers('', nowMs),
@@ -87,9 +93,10 @@
 		network.handlePost(
 			'news.share',
 			loadReportInput,
-			({from, inFlight, shared, rates}) => {
+			({from, inFlight, shared, rates, leaving}) => {
 				const nowMs = performance.now();
 				this.#rates.record(rates, nowMs);
+				this.#leaving.record(leaving, nowMs);
 				this.#peerLoads.record(from, inFlight, nowMs);
 				this.#sharedParts.append(from, shared, nowMs);
 			},
@@ -109,6 +116,7 @@
 		const message = {
 			from: settings.daemonId,
 			rates: this.#rates.report(nowMs),
+			leaving: this.#leaving.report(nowMs),
 			inFlight: this.#childLoads.sumOfOthers('', nowMs),
 			shared: this.#unsentParts,
 		};
@@ -195,9 +203,15 @@
 				);
 			this.#position = position;
 			const nowMs = performance.now();
-			for (const load of this.#placement.applyUpdate(loadReport, nowMs)) {
+			const applied = this.#placement.applyUpdate(loadReport, nowMs);
+			for (const load of applied.rateChanged) {
 				logRateChange(this.#context.logger, load, 'daemon');
 			}
+
+			for (const load of applied.startedLeaving) {
+				const ageMs = loadReport.leaving?.[load.key] ?? 0;
+				logServerLeaving(this.#context, load, 'daemon', nowMs - ageMs);
+			}
 		} catch (error) {
 			// Without load reports, the daemon relies on its own requests only.
 			this.#placement.applyUpdate(
--- a/packages/ingress/src/head-codec.ts
+++ b/packages/ingress/src/head-codec.ts
@@ -38,6 +38,10 @@
 	isNotRun: boolean;
 	/** Whether the response carries the signature of a server and so does not come from an intermediary. */
 	isSigned: boolean;
+	/** Whether the server announces that it is leaving and soon stops. */
+	isServerLeaving: boolean;
+	/** Names of headers that were ignored because their value is invalid. */
+	unreadableHeaders: readonly string[];
 	/** Requests per second that the server accepts from all daemons together; absent if it states no limit. */
 	requestsPerSecond?: number;
 };
--- a/packages/measure/src/sites/site-policies.ts
+++ b/packages/measure/src/sites/site-policies.ts
@@ -57,7 +57,7 @@
 		this.#entries = Array.from({length: scenario.entries}, (_, entry) => {
 			const zone = entry % scenario.zones;
 			const placement = new Placement({zone: String(zone), random, settings});
-			placement.replaceServers(listServers(scenario));
+			placement.replaceServers(listServers(scenario), 0);
 			return {placement, zone, position: undefined};
 		});
 	}
