--- a/packages/test-support/src/tcp-proxy.test.ts
+++ b/packages/test-support/src/tcp-proxy.test.ts
@@ -21,6 +21,16 @@
 		server = createServer((socket) => {
 			socket.on('data', (bytes) => {
 				received += bytes.toString();
+				if (bytes.toString() === 'reset') {
+					socket.resetAndDestroy();
+					return;
+				}
+
+				if (bytes.toString() === 'close') {
+					socket.end();
+					return;
+				}
+
 				socket.write(`echo ${bytes.toString()}`);
 			});
 			socket.on('error', () => socket.destroy());
@@ -45,9 +55,12 @@
 		const [host, port] = proxy.address.split(':');
 		const client = connect(Number(port), host);
 		clients.push(client);
-		client.on('error', () => client.destroy());
+		const state = {client, text: '', closed: false, isReset: false};
+		client.on('error', () => {
+			state.isReset = true;
+			client.destroy();
+		});
 		await once(client, 'connect');
-		const state = {client, text: '', closed: false};
 		client.on('data', (bytes) => {
 			state.text += bytes.toString();
 		});
@@ -57,6 +70,16 @@
 		return state;
 	};
 
+	it('passes on whether the other end closed or reset the connection', async () => {
+		// Guards against a soak in which a reset response looks like one that was closed in order.
+		const closed = await open();
+		closed.client.write('close');
+		const reset = await open();
+		reset.client.write('reset');
+		await waitFor('both to end', () => closed.closed && reset.closed);
+		expect([closed.isReset, reset.isReset]).toEqual([false, true]);
+	});
+
 	it('drops the bytes of one direction and forwards the other', async () => {
 		const first = await open();
 		first.client.write('a');
--- a/packages/test-support/src/tcp-proxy.ts
+++ b/packages/test-support/src/tcp-proxy.ts
@@ -108,15 +108,15 @@
 		}
 	}
 
-	/** Ends all faults; connections with a silenced direction are closed. */
+	/** Ends all faults; connections with a silenced direction are reset, as their bytes are lost. */
 	heal(): void {
 		this.#silencedOnNew = new Set();
 		this.#refusesNew = false;
 		this.#delayMs = 0;
 		for (const connection of this.#connections) {
 			if (connection.silenced.size > 0) {
-				connection.client.destroy();
-				connection.server.destroy();
+				connection.client.resetAndDestroy();
+				connection.server.resetAndDestroy();
 			}
 		}
 	}
@@ -134,9 +134,21 @@
 			silenced: new Set(this.#silencedOnNew),
 		};
 		this.#connections.add(connection);
-		for (const socket of [client, server]) {
+		for (const [socket, peer] of [
+			[client, server],
+			[server, client],
+		] as const) {
 			socket.setNoDelay(true);
-			socket.on('error', () => socket.destroy());
+			socket.on('error', () => {
+				peer.resetAndDestroy();
+				socket.destroy();
+			});
+			socket.on('end', () => {
+				// A reset that was noticed together with the last bytes is reported as an end without a peer.
+				if (socket.remoteAddress === undefined) {
+					peer.resetAndDestroy();
+				}
+			});
 			socket.on('close', () => {
 				this.#connections.delete(connection);
 				// The close of a silenced connection must not reach the other peer.
