State and test that refused requests may reach avoided servers

Cause: since a server that a request has been sent to is left out before servers to avoid are, so that a request which all other servers have refused goes to an avoided one; before, it was refused.

--- a/packages/balancer/src/choose-server.test.ts
+++ b/packages/balancer/src/choose-server.test.ts
@@ -263,6 +263,17 @@
 		expect(table.all()[0]!.prefixCache.cachedTokens('shared', 0)).toBe(0);
 	});
 
+	it('returns servers to avoid when the request has been sent to all others', () => {
+		// Guards against a request that is refused although a server that it has not reached may take it.
+		const table = createTable([createServer('1'), createServer('2')]);
+		table.all()[0]!.avoidUntilMs = 500;
+		const excludedIds = new Set([asId<UpstreamId>('2')]);
+		const ids = table
+			.candidates('models', 0, excludedIds)
+			.map(({server}) => String(server.id));
+		expect(ids).toEqual(['1']);
+	});
+
 	it('returns servers to avoid when there are no others', () => {
 		const table = createTable([createServer('1'), createServer('2')]);
 		table.candidates('models', 0)[0]!.avoidUntilMs = 500;
--- a/packages/balancer/src/server-table.ts
+++ b/packages/balancer/src/server-table.ts
@@ -232,8 +232,9 @@
 	}
 
 	/**
-	 * Returns the servers of a service to which this daemon may send a request now. Servers to avoid are
-	 * returned only when there are no others, and none of the others takes the request later.
+	 * Returns the servers of a service to which this daemon may send a request now, except those that it has
+	 * been sent to. Servers to avoid are returned only when there are no others, and none of the others takes
+	 * the request later.
 	 */
 	candidates(
 		service: string,
@@ -289,8 +290,7 @@
 
 	/**
 	 * Servers of a service that a request may still be sent to: those that stay; if there are none, those whose
-	 * leaving only other daemons report; and if there are none either, those that are
-	 * known to be leaving since a short time.
+	 * leaving only other daemons report; and if there are none either, those that began to leave a short time ago.
 	 */
 	#accepting(
 		service: string,
