Log how the response of a server was framed and how much of it arrived

Cause: the line of a request said 'served' and nothing that tells a whole stream from a part of one: not how its end was announced, nor its size, nor, outside of programs, its events. The hypotheses of the incident could not be told apart.

Change: request-finished has framing, bodySizeBytes and events of the response of the last server; findFraming (ingress) tells a length, chunks and the end of the connection apart.

--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -223,14 +223,15 @@
 			[settings.daemonId],
 			performance.now(),
 		);
-		fixture.#port = await fixture.#server.start();
+		fixture.port = await fixture.#server.start();
 		return fixture;
 	}
 
 	readonly upstreams: Upstreams;
 	readonly outcomes: RequestOutcome[] = [];
+	/** Port of the entry on the loopback address. */
+	port = 0;
 	readonly #server: IngressServer;
-	#port = 0;
 
 	private constructor(
 		readonly context: GatewayContext,
@@ -265,6 +266,7 @@
 						deadlineMs: exchange.receivedAtMs + route.timeoutMs,
 						documentVersion: 1,
 						progress: {},
+						received: {},
 					},
 					{upstreams: this.upstreams, table},
 				);
@@ -280,7 +282,7 @@
 		body: string;
 		retryAfterMs?: number;
 	}> {
-		const response = await fetch(`http://127.0.0.1:${this.#port}/x`, {
+		const response = await fetch(`http://127.0.0.1:${this.port}/x`, {
 			headers: {'x-request': requestId},
 		});
 		const body = await response.text();
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -121,6 +121,7 @@
 			this.#fail(error, this.#verdict);
 		} else if (answer.status === 200) {
 			this.#isStreaming = true;
+			this.#request.received.events = 0;
 			this.#hasEvents = isEventStream(answer.headers);
 			this.#request.exchange.start(answer.status, answer.headers);
 		}
@@ -142,6 +143,7 @@
 			return;
 		}
 
+		this.#request.received.events = this.#reader.eventCount;
 		exchange.write(chunk);
 		if (exchange.isCongested) {
 			this.#upstreamExchange.pause();
--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -240,7 +240,7 @@
 			{...options, reader, beforeEnd: settleBeforeEnd},
 		);
 		serverId = outcome.serverId;
-		return {...outcome, events: reader.eventCount};
+		return outcome;
 	} finally {
 		reader.discard();
 		if (isCharged && !isSettled) {
--- a/packages/gateway/src/entry/request-context.ts
+++ b/packages/gateway/src/entry/request-context.ts
@@ -1,5 +1,9 @@
 import type {LastTurn} from '@marjoramcove/balancer';
-import type {CallerExchange, RequestHead} from '@marjoramcove/ingress';
+import type {
+	CallerExchange,
+	RequestHead,
+	ResponseFraming,
+} from '@marjoramcove/ingress';
 import type {Route} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
 
@@ -15,6 +19,14 @@
 	settledMs?: number;
 };
 
+/** What arrived of the response of the last attempted server; empty until its head has arrived. */
+export type ReceivedResponse = {
+	framing?: ResponseFraming;
+	bodySizeBytes?: number;
+	/** Number of complete events; absent for a response that is not streamed. */
+	events?: number;
+};
+
 /** A request with the routing decisions made so far. */
 export type RequestContext = {
 	exchange: CallerExchange;
@@ -30,6 +42,7 @@
 	/** Version of the routing document that was applied. */
 	documentVersion: number;
 	progress: RequestProgress;
+	received: ReceivedResponse;
 };
 
 /**
@@ -50,5 +63,4 @@
 	reason: string;
 	serverId?: UpstreamId;
 	attempts: number;
-	events?: number;
 };
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -10,6 +10,7 @@
 	MAX_BUFFERED_BYTES,
 	type ResponseHead,
 	type ResponseStart,
+	findFraming,
 	findHeader,
 	UpstreamClient,
 	type UpstreamExchange,
@@ -176,7 +177,7 @@
 		table: RouteTable,
 		handlers: AttemptHandlers,
 	): AttemptExchange {
-		const {exchange, deadlineMs, body, service} = request;
+		const {exchange, deadlineMs, body, service, received} = request;
 		const {headCodec} = this.#context.adapter;
 		const {server} = load;
 		const maxConnections = table.service(service)?.maxConnections ?? Infinity;
@@ -245,6 +246,16 @@
 					handlers.onSent?.();
 				},
 				onStart: (answer) => {
+					const framing = findFraming(
+						exchange.method,
+						answer.status,
+						answer.headers,
+					);
+					Object.assign(received, {
+						framing,
+						bodySizeBytes: 0,
+						events: undefined,
+					});
 					const head = headCodec.decodeResponse(answer.status, answer.headers);
 					this.#avoidIfNotRun(load, answer, head);
 					this.#recordRate(load, request, answer, head);
@@ -253,6 +264,7 @@
 					handlers.onStart({...answer, head});
 				},
 				onData(chunk) {
+					received.bodySizeBytes = (received.bodySizeBytes ?? 0) + chunk.length;
 					load.health.recordChunk(attempt, performance.now());
 					handlers.onData(chunk);
 				},
--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -263,6 +263,7 @@
 				deadlineMs,
 				documentVersion: version,
 				progress: {},
+				received: {},
 			},
 		};
 	}
@@ -357,7 +358,7 @@
 			reason: outcome.reason,
 			server: outcome.serverId,
 			attempts: outcome.attempts,
-			events: outcome.events,
+			...request?.received,
 			...Object.fromEntries(
 				progress.map(([stage, elapsedMs]) => [stage, Math.round(elapsedMs)]),
 			),
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -23,6 +23,7 @@
 	type EventStreamReaderOptions,
 	MAX_EVENT_BYTES,
 } from './event-stream-reader.ts';
+export {findFraming, type ResponseFraming} from './response-framing.ts';
 export {
 	BufferMemory,
 	MAX_BUFFERED_BYTES,
