Send each call to an upstream on a connection of its own

What callers saw: found while looking for the cause of the repeated refusals elsewhere; not reported. A repeated answer on a kept connection became the answer of the next call of packages/daemon: another call's result in the history, text of another program in a stream, or 'not run' for a call that an engine ran.

Cause: the answers of services and engines do not say which call they belong to, so that only the connection tells. Calls that may run once had a connection of their own for another reason; idempotent and model calls used the kept ones.

Change: UpstreamClient sends all calls over its single-use agent. Health checks, reports and orders keep their connections.

The handshake that each idempotent and model call costs now was not measured.

--- a/packages/daemon/src/dispatcher/run-tool-call.ts
+++ b/packages/daemon/src/dispatcher/run-tool-call.ts
@@ -68,7 +68,6 @@
 	return request(`${address}/${encodeURIComponent(readOperation(run))}`, {
 		method: 'POST',
 		dispatcher,
-		reset: !grant.idempotent,
 		headers: {
 			'content-type': 'application/json',
 			'idempotency-key': `${grant.programId}:${grant.requestId}`,
@@ -105,10 +104,7 @@
 			);
 };
 
-/**
- * Sends a tool call to a service, once. Non-idempotent calls get a connection of their own, because a
- * pooled connection that the service closes at the same moment would make the outcome unknown.
- */
+/** Sends a tool call to a service, once. */
 export const runToolCall = async (call: ToolCall): Promise<AttemptEnd> => {
 	const {run, answerSizeBytes} = call;
 	const remainingMs = Math.max(
--- a/packages/daemon/src/dispatcher/upstream-client.ts
+++ b/packages/daemon/src/dispatcher/upstream-client.ts
@@ -11,16 +11,17 @@
 const connectTimeoutMs = 2000;
 
 /**
- * Creates the connection pool for calls to upstreams.
+ * Creates the connection pool for requests to upstreams.
  *
+ * @param isSingleUse - whether each connection carries one request and is then closed.
  * @example
  * ```ts
- * const dispatcher = createUpstreamAgent();
+ * const dispatcher = createUpstreamAgent({isSingleUse: true});
  * ```
  */
-export const createUpstreamAgent = (): Agent =>
+export const createUpstreamAgent = ({isSingleUse = false} = {}): Agent =>
 	new Agent({
-		pipelining: 1,
+		pipelining: isSingleUse ? 0 : 1,
 		connect: createUpstreamConnector({timeoutMs: connectTimeoutMs}),
 	});
 
@@ -28,8 +29,12 @@
 export class UpstreamClient {
 	readonly #context: DaemonContext;
 	readonly #agents = new Map<UpstreamId, {address: string; agent: Agent}>();
-	/** Closes each connection after one call; see {@link runToolCall}. */
-	readonly #singleUseAgent = createUpstreamAgent();
+	/**
+	 * Carries the calls. Their answers do not say which call they belong to, so that a repeated answer on a kept
+	 * connection would be taken for that of the next call. A kept connection that the upstream closes at the same
+	 * moment would also make the outcome of a call unknown.
+	 */
+	readonly #singleUseAgent = createUpstreamAgent({isSingleUse: true});
 
 	constructor(context: DaemonContext) {
 		this.#context = context;
@@ -45,10 +50,10 @@
 	/** Sends an attempt to its upstream, once. */
 	async call(run: CallRun, upstream: UpstreamResource): Promise<AttemptEnd> {
 		const {address} = upstream.spec;
-		const dispatcher = this.agentOf(upstream);
+		const dispatcher = this.#singleUseAgent;
 		if (upstream.spec.type === 'service') {
 			return runToolCall({
-				dispatcher: run.grant.idempotent ? dispatcher : this.#singleUseAgent,
+				dispatcher,
 				address,
 				run,
 				answerSizeBytes: this.#context.settings.limits.answerSizeBytes,
@@ -76,7 +81,7 @@
 		}
 	}
 
-	/** Connection pool of an upstream; replaced when its address changes. */
+	/** Connection pool for all requests to an upstream but calls; replaced when its address changes. */
 	agentOf({name, spec}: UpstreamResource): Agent {
 		let entry = this.#agents.get(name);
 		if (entry?.address !== spec.address) {
