Reject a response head that contains the start of another one

What callers saw: found while testing heads that stop half-way; not reported. The refusal or the success of an earlier answer with the id, signature and body of the present one: 503 for a request that was running (REFUSED), 200 with the body of a failure (MIXED).

Cause: a server that stops within a head and writes its next answer behind it makes one valid head of both where the first part ends in the reason phrase or in a value: the status is of the first, the later lines are of the second.

Change: hasMergedHeads (ingress) finds a status line in the reason phrase or in a value; ResponseCheck takes such a response for one that may have run.

--- a/packages/gateway/src/entry/response-check.ts
+++ b/packages/gateway/src/entry/response-check.ts
@@ -1,6 +1,7 @@
 import {
 	EventBoundary,
 	findFraming,
+	hasMergedHeads,
 	type ResponseFraming,
 	type ResponseHead,
 	type ResponseStart,
@@ -50,7 +51,9 @@
 			this.#boundary = new EventBoundary();
 		}
 
-		return findResponseError(head, answer);
+		return hasMergedHeads(answer)
+			? 'merged-heads'
+			: findResponseError(head, answer);
 	}
 
 	/** Reads the next bytes of the body. */
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -24,6 +24,7 @@
 	type EventStreamReaderOptions,
 	MAX_EVENT_BYTES,
 } from './event-stream-reader.ts';
+export {hasMergedHeads} from './has-merged-heads.ts';
 export {findFraming, type ResponseFraming} from './response-framing.ts';
 export {
 	BufferMemory,
--- a/packages/ingress/src/upstream-client.ts
+++ b/packages/ingress/src/upstream-client.ts
@@ -13,7 +13,12 @@
 };
 
 /** Status and headers of a response. */
-export type ResponseStart = {status: number; headers: HeaderList};
+export type ResponseStart = {
+	status: number;
+	/** Reason phrase of the status line. */
+	statusText?: string;
+	headers: HeaderList;
+};
 
 /** Reason why an exchange ended without a complete response. */
 export type UpstreamFailure = {
@@ -209,6 +214,8 @@
 	onResponseStart(
 		controller: Dispatcher.DispatchController,
 		status: number,
+		_headers: unknown,
+		statusText?: string,
 	): void {
 		if (this.#hasEnded) {
 			return;
@@ -216,7 +223,8 @@
 
 		if (status >= 200) {
 			const raw = controller.rawHeaders as Buffer[] | string[];
-			this.#handlers.onStart({status, headers: readRawHeaders(raw)});
+			const headers = readRawHeaders(raw);
+			this.#handlers.onStart({status, statusText, headers});
 			return;
 		}
 
