Promise nothing where a server's refusal does not state that it has not run

What callers saw: found while looking for the cause of the repeated refusals elsewhere; not reported. A server's own 408, 429 or 503 without the statement that it has not run the request was passed on, and its status alone makes a caller send a request again that may run once (REFUSED, TWICE).

Cause: isNotRun decided whether the entry may send the request elsewhere, and not whether the caller may.

Change: ResponseCheck takes such a response to a request that may run once for one that may have run (502); idempotent requests get it as it is. What a response says about its server (rate, leaving, full) is recorded only if its head belongs to the request.

--- a/packages/gateway/src/entry/response-check.ts
+++ b/packages/gateway/src/entry/response-check.ts
@@ -9,6 +9,9 @@
 import {findResponseError} from './find-response-error.ts';
 import type {RequestContext} from './request-context.ts';
 
+/** Statuses that tell a caller that its request has not run and may be sent again. */
+const REFUSAL_STATUSES = new Set([408, 421, 429, 503]);
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /**
@@ -30,6 +33,7 @@
 export class ResponseCheck {
 	readonly #request: RequestContext;
 	#framing: ResponseFraming = 'none';
+	#isOwn = false;
 	/** Absent for a response that is no stream. */
 	#boundary: EventBoundary | undefined;
 
@@ -42,6 +46,11 @@
 		return this.#framing;
 	}
 
+	/** Whether the head belongs to the request, so that it tells something about the server. */
+	get isOwn(): boolean {
+		return this.#isOwn;
+	}
+
 	/** @returns the reason code for which the response must not be forwarded; `undefined` if it may be. */
 	start(answer: ResponseStart & {head: ResponseHead}): string | undefined {
 		const {head, exchange, route} = this.#request;
@@ -51,9 +60,21 @@
 			this.#boundary = new EventBoundary();
 		}
 
-		return hasMergedHeads(answer)
-			? 'merged-heads'
-			: findResponseError(head, answer);
+		if (hasMergedHeads(answer)) {
+			return 'merged-heads';
+		}
+
+		this.#isOwn = answer.head.requestId === head.requestId;
+
+		// Callers send a request again after these statuses, although only the server knows whether it has run.
+		const isUnconfirmedRefusal =
+			REFUSAL_STATUSES.has(status) &&
+			!answer.head.isNotRun &&
+			route.kind !== 'idempotent';
+		return (
+			findResponseError(head, answer) ??
+			(isUnconfirmedRefusal ? 'unconfirmed-refusal' : undefined)
+		);
 	}
 
 	/** Reads the next bytes of the body. */
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -262,17 +262,20 @@
 						bodySizeBytes: 0,
 						events: undefined,
 					});
-					this.#avoidIfNotRun(load, answer, head);
-					this.#recordRate(load, request, answer, head);
-					this.#recordLeaving(load, request, answer, head);
+					if (check.isOwn) {
+						attemptEnd = classifyResponse(answer, head);
+						this.#avoidIfNotRun(load, answer, head);
+						this.#recordRate(load, answer, head);
+						this.#recordLeaving(load, answer, head);
+					}
+
 					if (defect !== undefined) {
-						release('cancelled');
+						release(check.isOwn ? attemptEnd : 'cancelled');
 						upstreamExchange.cancel();
 						handlers.onFailure(createDefectFailure(defect));
 						return;
 					}
 
-					attemptEnd = classifyResponse(answer, head);
 					handlers.onStart({...answer, head});
 				},
 				onData(chunk) {
@@ -336,7 +339,6 @@
 	/** Records that the server announces in its response that it is leaving. */
 	#recordLeaving(
 		load: ServerLoad,
-		{head: {requestId}}: RequestContext,
 		{status}: ResponseStart,
 		head: ResponseHead,
 	): void {
@@ -350,9 +352,8 @@
 			});
 		}
 
-		// Another instance may answer 421 at the address, and a late response belongs to an earlier one.
-		const isOfServer = head.requestId === requestId && status !== 421;
-		if (!head.isServerLeaving || !isOfServer) {
+		// Another instance may answer 421 at the address.
+		if (!head.isServerLeaving || status === 421) {
 			return;
 		}
 
@@ -396,15 +397,13 @@
 	/** Records the request rate that the response of the server states. */
 	#recordRate(
 		load: ServerLoad,
-		request: RequestContext,
 		{status}: ResponseStart,
-		{requestsPerSecond, requestId, isNotRun, isSigned}: ResponseHead,
+		{requestsPerSecond, isNotRun, isSigned}: ResponseHead,
 	): void {
-		const isOfServer = requestId === request.head.requestId && status !== 421;
 		// A refusal need not repeat the limit, so that only a served request shows that there is none.
 		const isStatement =
 			requestsPerSecond !== undefined || (isSigned && !isNotRun);
-		if (!isOfServer || !isStatement) {
+		if (status === 421 || !isStatement) {
 			return;
 		}
 
