Let the check of a response say what it tells about its server

Change: ResponseCheck.outcome replaces classifyResponse and the variable beside it; createPlacementRequest has a file of its own.

Measured: the 250 tests of packages/gateway pass.

--- a/packages/gateway/src/entry/response-check.ts
+++ b/packages/gateway/src/entry/response-check.ts
@@ -1,3 +1,4 @@
+import type {AttemptOutcome} from '@marjoramcove/balancer';
 import {
 	EventBoundary,
 	findFraming,
@@ -34,6 +35,7 @@
 	readonly #request: RequestContext;
 	#framing: ResponseFraming = 'none';
 	#isOwn = false;
+	#outcome: AttemptOutcome = 'cancelled';
 	/** Absent for a response that is no stream. */
 	#boundary: EventBoundary | undefined;
 
@@ -51,6 +53,14 @@
 		return this.#isOwn;
 	}
 
+	/**
+	 * What the head says about the health of the server. Nothing if it does not belong to the request, or if it
+	 * states that the request has not run, which indicates load.
+	 */
+	get outcome(): AttemptOutcome {
+		return this.#outcome;
+	}
+
 	/** @returns the reason code for which the response must not be forwarded; `undefined` if it may be. */
 	start(answer: ResponseStart & {head: ResponseHead}): string | undefined {
 		const {head, exchange, route} = this.#request;
@@ -65,6 +75,9 @@
 		}
 
 		this.#isOwn = answer.head.requestId === head.requestId;
+		if (this.#isOwn && !answer.head.isNotRun) {
+			this.#outcome = status >= 500 ? 'error' : 'answered';
+		}
 
 		// Callers send a request again after these statuses, although only the server knows whether it has run.
 		const isUnconfirmedRefusal =
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -1,7 +1,6 @@
 import {
 	type AttemptOutcome,
 	Placement,
-	type PlacementRequest,
 	type ServerLoad,
 	type ObservedAttempt,
 } from '@marjoramcove/balancer';
@@ -18,6 +17,7 @@
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
+import {createPlacementRequest} from './create-placement-request.ts';
 import {logRateChange} from './log-rate-change.ts';
 import {logServerLeaving} from './log-server-leaving.ts';
 import type {RequestContext} from './request-context.ts';
@@ -51,34 +51,6 @@
 
 const NO_EXCLUDED_IDS: ReadonlySet<UpstreamId> = new Set();
 
-const createPlacementRequest = (
-	{route, head, service, last}: RequestContext,
-	excludedIds: ReadonlySet<UpstreamId>,
-): PlacementRequest => {
-	const hasPrompt = route.kind === 'stream' || head.promptParts !== undefined;
-	return {
-		service,
-		prompt:
-			route.hasAffinity && hasPrompt ? (head.promptParts ?? []) : undefined,
-		affinityKey: route.hasAffinity && !hasPrompt ? head.affinityKey : undefined,
-		programId: head.programId ?? head.requestId ?? '',
-		last,
-		excludedIds,
-	};
-};
-
-/** A response stating that the request did not run indicates load on the server, not a health problem. */
-const classifyResponse = (
-	{status}: ResponseStart,
-	head: ResponseHead,
-): AttemptOutcome => {
-	if (head.isNotRun) {
-		return 'cancelled';
-	}
-
-	return status >= 500 ? 'error' : 'answered';
-};
-
 const createDefectFailure = (code: string): UpstreamFailure => ({
 	verdict: 'may-have-run',
 	code,
@@ -201,7 +173,6 @@
 			},
 			sentAtMs,
 		);
-		let attemptEnd: AttemptOutcome = 'answered';
 		const check = new ResponseCheck(request);
 		let isReleased = false;
 		const release = (end: AttemptOutcome) => {
@@ -263,14 +234,13 @@
 						events: undefined,
 					});
 					if (check.isOwn) {
-						attemptEnd = classifyResponse(answer, head);
 						this.#avoidIfNotRun(load, answer, head);
 						this.#recordRate(load, answer, head);
 						this.#recordLeaving(load, answer, head);
 					}
 
 					if (defect !== undefined) {
-						release(check.isOwn ? attemptEnd : 'cancelled');
+						release(check.outcome);
 						upstreamExchange.cancel();
 						handlers.onFailure(createDefectFailure(defect));
 						return;
@@ -287,7 +257,7 @@
 				onEnd() {
 					const defect = check.findDefectAtEnd();
 					if (defect === undefined) {
-						release(attemptEnd);
+						release(check.outcome);
 						handlers.onEnd();
 					} else {
 						release('failed');
