--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -20,7 +20,7 @@
 import {createPlacementRequest} from './create-placement-request.ts';
 import {logRateChange} from './log-rate-change.ts';
 import {logServerLeaving} from './log-server-leaving.ts';
-import type {RequestContext} from './request-context.ts';
+import type {ReceivedResponse, RequestContext} from './request-context.ts';
 import {ResponseCheck} from './response-check.ts';
 import {UnsentAttempts} from './unsent-attempts.ts';
 
@@ -159,6 +159,13 @@
 	): AttemptExchange {
 		const {exchange, deadlineMs, body, service, received} = request;
 		const {headCodec} = this.#context.adapter;
+		// What an earlier attempt received says nothing about this one.
+		const unreceived: ReceivedResponse = {
+			framing: undefined,
+			bodySizeBytes: undefined,
+			events: undefined,
+		};
+		Object.assign(received, unreceived);
 		const {server} = load;
 		const maxConnections = table.service(service)?.maxConnections ?? Infinity;
 		const entryCount = Math.max(
@@ -228,11 +235,8 @@
 				onStart: (answer) => {
 					const head = headCodec.decodeResponse(answer.status, answer.headers);
 					const defect = check.start({...answer, head});
-					Object.assign(received, {
-						framing: check.framing,
-						bodySizeBytes: 0,
-						events: undefined,
-					});
+					received.framing = check.framing;
+					received.bodySizeBytes = 0;
 					if (check.isOwn) {
 						this.#avoidIfNotRun(load, answer, head);
 						this.#recordRate(load, answer, head);
