Keep the order of bytes in the proxy of the soaks

TcpProxy delayed each chunk with a timer of its own and forwarded at once after the delay had ended, so that the last chunk of a response overtook its body; and it destroyed a connection that had ended before its delayed bytes were forwarded.

Change: DelayedQueue keeps the order of bytes, end and close of each direction.

Measured: two new tests of the proxy fail on the code before ('secondfirst', and bytes that never arrive) and pass now.

--- a/packages/test-support/src/tcp-proxy.test.ts
+++ b/packages/test-support/src/tcp-proxy.test.ts
@@ -70,6 +70,29 @@
 		return state;
 	};
 
+	it('keeps the order of the bytes when a delay ends', async () => {
+		// Guards against a soak whose proxy moves the last chunk of a response before its body.
+		const {client} = await open();
+		proxy.delay(100);
+		client.write('first ');
+		await waitFor(
+			'the first bytes to be delayed',
+			() => proxy.receivedBytes > 0,
+		);
+		proxy.heal();
+		client.write('second');
+		await waitFor('all bytes', () => received.length === 12);
+		expect(received).toBe('first second');
+	});
+
+	it('forwards delayed bytes before the end of their connection', async () => {
+		// Guards against a truncated response that the proxy closes in order.
+		const {client} = await open();
+		proxy.delay(100);
+		client.end('all of it');
+		await waitFor('the bytes', () => received === 'all of it');
+	});
+
 	it('passes on whether the other end closed or reset the connection', async () => {
 		// Guards against a soak in which a reset response looks like one that was closed in order.
 		const closed = await open();
--- a/packages/test-support/src/tcp-proxy.ts
+++ b/packages/test-support/src/tcp-proxy.ts
@@ -1,4 +1,5 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
+import {DelayedQueue} from './delayed-queue.ts';
 import {listenOnLoopback} from './listen-on-loopback.ts';
 
 /** Directions of a proxied connection. */
@@ -27,6 +28,8 @@
 export class TcpProxy {
 	/** Bytes forwarded in each direction, for tests. */
 	readonly forwardedBytes = {'to-server': 0, 'to-client': 0};
+	/** Bytes received from both ends, including those that are delayed or dropped, for tests. */
+	receivedBytes = 0;
 	readonly #target: {host: string; port: number};
 	readonly #connections = new Set<Connection>();
 	#server: Server | undefined;
@@ -68,7 +71,7 @@
 		}
 	}
 
-	/** Delays each received chunk; 0 ends the delay. */
+	/** Delays what is received from now on, in its order; 0 ends the delay. */
 	delay(delayMs: number): void {
 		this.#delayMs = delayMs;
 	}
@@ -150,11 +153,9 @@
 				}
 			});
 			socket.on('close', () => {
-				this.#connections.delete(connection);
-				// The close of a silenced connection must not reach the other peer.
-				if (connection.silenced.size === 0) {
-					client.destroy();
-					server.destroy();
+				// The peer may still have delayed bytes to get.
+				if (peer.destroyed || connection.silenced.size > 0) {
+					this.#connections.delete(connection);
 				}
 			});
 		}
@@ -170,6 +171,7 @@
 				: [connection.server, connection.client];
 		const isSilenced = () =>
 			connection.silenced.has(direction) || connection.silenced.has('both');
+		const queue = new DelayedQueue();
 		const forward = (bytes: Uint8Array) => {
 			if (isSilenced() || to.destroyed) {
 				return;
@@ -183,15 +185,22 @@
 		};
 
 		from.on('data', (bytes) => {
-			if (this.#delayMs === 0) {
+			this.receivedBytes += bytes.length;
+			queue.add(() => {
 				forward(bytes);
-			} else {
-				setTimeout(forward, this.#delayMs, bytes);
-			}
+			}, this.#delayMs);
 		});
 		from.on('end', () => {
 			if (!isSilenced()) {
-				setTimeout(() => to.end(), this.#delayMs);
+				queue.add(() => to.end(), this.#delayMs);
+			}
+		});
+		from.on('close', () => {
+			// The close of a silenced connection must not reach the other peer.
+			if (connection.silenced.size === 0) {
+				queue.add(() => {
+					to.destroySoon();
+				}, this.#delayMs);
 			}
 		});
 	}
