--- a/packages/transport/src/peer-client.test.ts
+++ b/packages/transport/src/peer-client.test.ts
@@ -10,6 +10,7 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import * as z from 'zod';
 import {PeerClient, type PeerClientEvent} from './peer-client.ts';
+import {DEFAULT_MAX_MESSAGE_BYTES} from './peer-link.ts';
 import {createPeerRouter, type Procedures} from './peer-router.ts';
 import {PeerServer} from './peer-server.ts';
 
@@ -87,6 +88,13 @@
 						return text;
 					},
 				},
+				'echo.zeros': {
+					kind: 'call',
+					input: z.number(),
+					async run(lengthBytes: number) {
+						return Buffer.alloc(lengthBytes);
+					},
+				},
 				'echo.refused': {
 					kind: 'call',
 					input: z.unknown(),
@@ -197,6 +205,34 @@
 				expect(runs).toBe(0);
 			});
 
+			it('replaces an answer above the size limit by an error and keeps the link', async () => {
+				// Guards against one answer that fails all calls of two daemons.
+				const events: PeerClientEvent[] = [];
+				const client = openClient({
+					onEvent(event) {
+						events.push(event);
+					},
+				});
+				const other = client.call('echo.text', 'a', {timeoutMs: 5000});
+				await expect(
+					client.call('echo.zeros', DEFAULT_MAX_MESSAGE_BYTES + 100_000, {
+						timeoutMs: 5000,
+					}),
+				).rejects.toMatchObject({
+					reason: 'peer-answer-too-large',
+					verdict: 'ran',
+				});
+				expect(await other).toBe('a');
+				expect(
+					await client.call<Uint8Array>(
+						'echo.zeros',
+						DEFAULT_MAX_MESSAGE_BYTES - 1000,
+						{timeoutMs: 5000},
+					),
+				).toHaveLength(DEFAULT_MAX_MESSAGE_BYTES - 1000);
+				expect(events.map(({type}) => type)).toEqual(['connected']);
+			});
+
 			it('refuses more pending calls than the limit', async () => {
 				const client = openClient({maxPendingCalls: 1});
 				const [first, second] = await Promise.allSettled([
--- a/packages/transport/src/peer-client.ts
+++ b/packages/transport/src/peer-client.ts
@@ -2,6 +2,7 @@
 import {
 	type CallHandlers,
 	type CloseReason,
+	DEFAULT_MAX_MESSAGE_BYTES,
 	type LinkOptions,
 	PeerLink,
 } from './peer-link.ts';
@@ -34,7 +35,7 @@
 	heartbeatMs: 1000,
 	silenceMs: 3000,
 	connectTimeoutMs: 1000,
-	maxMessageBytes: 16 * 1024 * 1024,
+	maxMessageBytes: DEFAULT_MAX_MESSAGE_BYTES,
 	maxBatchBytes: 64 * 1024,
 	maxPendingCalls: 10_000,
 	maxBufferedBytes: 32 * 1024 * 1024,
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -9,6 +9,7 @@
 	type PostProcedure,
 	type Procedures,
 } from './peer-router.ts';
+import {peerAnswerTooLarge} from './transport-errors.ts';
 
 /** Events of a connection, for metrics and logs. */
 export type PeerConnectionEvent =
@@ -19,6 +20,8 @@
 export type PeerConnectionOptions = {
 	/** Unsent bytes above which the connection is closed. */
 	maxBufferedBytes: number;
+	/** Size above which an answer is replaced by an error; the peer would close the link. */
+	maxMessageBytes: number;
 	/** Maximum size of the messages of one turn that are joined into one frame. */
 	maxBatchBytes: number;
 	/** Procedures of one-way messages by path. */
@@ -54,6 +57,22 @@
 /** Code of tRPC for an error inside a procedure; {@link PeerLink} reads the body only. */
 const INTERNAL_ERROR = {code: -32_603, name: 'INTERNAL_SERVER_ERROR'};
 
+const encodeError = (
+	id: number | string,
+	error: unknown,
+): Uint8Array<ArrayBuffer> =>
+	encodeMessage({
+		id,
+		error: {
+			message: messageOf(error),
+			code: INTERNAL_ERROR.code,
+			data: {
+				code: INTERNAL_ERROR.name,
+				body: toErrorBody(error, 'may-have-run'),
+			},
+		},
+	});
+
 /**
  * Server side of one link, between the WebSocket and tRPC: it joins the answers of one turn of the
  * event loop into one frame, runs one-way messages and calls with one answer itself, and closes the
@@ -92,8 +111,17 @@
 	}
 
 	/** Encodes an answer of tRPC; {@link PeerConnection} adds the frame around it. */
-	readonly encode = (message: unknown): Uint8Array<ArrayBuffer> =>
-		encodeMessage(message);
+	readonly encode = (message: unknown): Uint8Array<ArrayBuffer> => {
+		const {maxMessageBytes} = this.#options;
+		const bytes = encodeMessage(message);
+		const {id} = message as {id?: number | string};
+		return bytes.length > maxMessageBytes && id !== undefined
+			? encodeError(
+					id,
+					peerAnswerTooLarge(`call ${id}`, bytes.length, maxMessageBytes),
+				)
+			: bytes;
+	};
 
 	/** Monotonic time at which the peer last sent anything. */
 	get lastReceivedMs(): number {
@@ -167,24 +195,24 @@
 		try {
 			const input = parseInput(params.path, procedure.input, params.input);
 			const data = await procedure.run(input, this.#options.context);
-			answer = encodeMessage({id, result: {type: 'data', data}});
+			answer = this.#encodeData(id, params.path, data);
 		} catch (error) {
-			answer = encodeMessage({
-				id,
-				error: {
-					message: messageOf(error),
-					code: INTERNAL_ERROR.code,
-					data: {
-						code: INTERNAL_ERROR.name,
-						body: toErrorBody(error, 'may-have-run'),
-					},
-				},
-			});
+			answer = encodeError(id, error);
 		}
 
 		this.#send(answer);
 	}
 
+	#encodeData(id: number, path: string, data: unknown): Uint8Array {
+		const {maxMessageBytes} = this.#options;
+		const bytes = encodeMessage({id, result: {type: 'data', data}});
+		if (bytes.length > maxMessageBytes) {
+			throw peerAnswerTooLarge(path, bytes.length, maxMessageBytes);
+		}
+
+		return bytes;
+	}
+
 	#runPost(path: string, input: unknown): void {
 		try {
 			const procedure = Object.hasOwn(this.#options.posts, path)
--- a/packages/transport/src/peer-link.ts
+++ b/packages/transport/src/peer-link.ts
@@ -15,6 +15,9 @@
 	type WireError,
 } from './transport-errors.ts';
 
+/** Default size limit of a message between daemons; longer data is passed in parts. */
+export const DEFAULT_MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
 /** Limits and timing of one link. */
 export type LinkOptions = {
 	address: string;
--- a/packages/transport/src/peer-server.ts
+++ b/packages/transport/src/peer-server.ts
@@ -4,6 +4,7 @@
 import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
 import {type WebSocket, WebSocketServer} from 'ws';
 import {PeerConnection, type PeerConnectionEvent} from './peer-connection.ts';
+import {DEFAULT_MAX_MESSAGE_BYTES} from './peer-link.ts';
 import type {PeerContext, PostProcedure, Procedures} from './peer-router.ts';
 
 /** Options of a {@link PeerServer}. */
@@ -37,17 +38,20 @@
  */
 export class PeerServer {
 	readonly #options: PeerServerOptions;
+	readonly #maxMessageBytes: number;
 	readonly #http: Server;
 	readonly #sockets: WebSocketServer;
 
 	constructor(options: PeerServerOptions) {
 		this.#options = options;
+		this.#maxMessageBytes =
+			options.maxMessageBytes ?? DEFAULT_MAX_MESSAGE_BYTES;
 		this.#http = createServer((_request, response) => {
 			response.writeHead(426).end();
 		});
 		this.#sockets = new WebSocketServer({
 			server: this.#http,
-			maxPayload: (options.maxMessageBytes ?? 16 * 1024 * 1024) + 65_536,
+			maxPayload: this.#maxMessageBytes + 65_536,
 			perMessageDeflate: false,
 		});
 	}
@@ -94,6 +98,7 @@
 		};
 		const connection = new PeerConnection(client, request.socket, {
 			maxBufferedBytes: options.maxBufferedBytes ?? 64 * 1024 * 1024,
+			maxMessageBytes: this.#maxMessageBytes,
 			maxBatchBytes: 64 * 1024,
 			posts: options.posts ?? {},
 			calls: options.calls ?? {},
--- a/packages/transport/src/transport-errors.ts
+++ b/packages/transport/src/transport-errors.ts
@@ -53,6 +53,21 @@
 		},
 	);
 
+/** Error for a call that has run, but whose answer exceeds the size limit of the link and was not sent. */
+export const peerAnswerTooLarge = (
+	path: string,
+	sizeBytes: number,
+	limitBytes: number,
+) =>
+	new MarjoramcoveError(
+		`The answer of ${path} has ${sizeBytes} bytes; the limit is ${limitBytes}.`,
+		{
+			reason: 'peer-answer-too-large',
+			verdict: 'ran',
+			hint: 'Ask for a part of it.',
+		},
+	);
+
 /** The `error` field of a tRPC response as this transport sends it. */
 export type WireError = {
 	message: string;
