Pass the text of chains in pages, so that their length is not limited

Cause: the text of a chain was handled in one piece in the answer of a shard (16 MiB), in the memory of the entry, in the body for the server and, for another program's chain, in one replicated command (8 MiB).

Change: turns.chain returns pages of 512 KiB; ChainReader continues at the leader when the replica in the zone fails. A chain of several pages is read while it is sent (StreamedBody), counted towards the memory of request bodies. Texts over 4 MiB and copied chains are stored in parts in front of the turn. Errors that a repeated call meets again are not retried. ShardClient is split off TurnsService.

Why it works: no message, command or buffer holds more than a page or a part, whatever the length of the chain; finished turns never change, so that pages of different replicas fit together.

--- a/packages/gateway/src/entry/forward-turn.ts
+++ b/packages/gateway/src/entry/forward-turn.ts
@@ -4,14 +4,17 @@
 import type {RouteTable} from '@marjoramcove/routes';
 import type {UpstreamId} from '@marjoramcove/types';
 import type {GatewayContext} from '../gateway-context.ts';
-import type {Chain, TurnsService} from '../services/turns-service.ts';
+import type {TurnsService} from '../services/turns-service.ts';
+import {type Chain, createTurnBody, measureTurnBody} from './chain.ts';
 import {forwardStream} from './forward-stream.ts';
+import {BODY_MEMORY_RETRY_MS} from './read-request-body.ts';
 import {refuseRequest} from './refuse-request.ts';
 import {
 	elapsedSinceReceiptMs,
 	type RequestContext,
 	type RequestOutcome,
 } from './request-context.ts';
+import {joinText, splitText} from './turn-text.ts';
 import type {Upstreams} from './upstreams.ts';
 
 /** Fraction of its time limit that a turn may wait for its shard before it is refused. */
@@ -68,28 +71,58 @@
 
 /**
  * Creates the record of a finished turn. If the chain is stored in another shard, its text is copied, so
- * that a chain is never split across shards.
+ * that a chain is never split across shards. Of a long text, all parts are stored first, and the record
+ * continues them.
  */
-const createTurnRecord = (
+const createTurnRecord = async (
 	{request, options, chain, retentionMs}: PreparedTurn,
-	input: Uint8Array,
 	reader: EventStreamReader,
 ) => {
-	const {head} = request;
-	const homeShard = options.turns.shardOf(head.programId!, request);
+	const {head, teamId, body: input, deadlineMs} = request;
+	const programId = head.programId!;
+	const homeShard = options.turns.shardOf(programId, request);
 	const isInOtherShard = chain !== undefined && chain.groupId !== homeShard;
-	const text = Buffer.concat([
-		...(isInOtherShard ? [chain.text] : []),
-		input,
-		reader.text(),
-	]);
-	return {
-		text,
-		retentionMs,
-		previousId: isInOtherShard ? undefined : head.previousTurnId,
-	};
+	const copiedChain = isInOtherShard ? chain : undefined;
+	const turnText = {copiedChain, input, output: reader.text()};
+	let previousId = isInOtherShard ? undefined : head.previousTurnId;
+	let text = joinText(turnText);
+	if (!text) {
+		let index = 0;
+		for await (const part of splitText(turnText, deadlineMs)) {
+			previousId = await options.turns.storePart(
+				{
+					teamId,
+					programId,
+					turnId: head.requestId!,
+					index,
+					text: part,
+					previousId,
+					retentionMs,
+				},
+				{deadlineMs},
+			);
+			index++;
+		}
+
+		text = Buffer.alloc(0);
+	}
+
+	return {text, retentionMs, previousId};
 };
 
+/** Refuses a turn whose body finds no memory. */
+const refuseForMemory = (
+	context: GatewayContext,
+	request: RequestContext,
+): RequestOutcome =>
+	refuseRequest(context, request, {
+		status: 503,
+		reason: 'body-memory-exhausted',
+		message:
+			'The daemon has no memory left for the earlier turns. The turn has not run.',
+		retryAfterMs: BODY_MEMORY_RETRY_MS,
+	});
+
 const refuseOverBudget = (
 	context: GatewayContext,
 	request: RequestContext,
@@ -135,7 +168,7 @@
 				)
 			: undefined,
 		needsChain
-			? options.turns.readChain(
+			? options.turns.openChain(
 					{turnId: previousTurnId, programId, teamId},
 					{deadlineMs},
 				)
@@ -196,6 +229,13 @@
 		return {type: 'refused', outcome};
 	}
 
+	if (
+		!request.exchange.tryGrowBody(measureTurnBody(turn.chain, request.body))
+	) {
+		release();
+		return {type: 'refused', outcome: refuseForMemory(context, request)};
+	}
+
 	return {type: 'ready', turn};
 };
 
@@ -214,9 +254,9 @@
 	}
 
 	const {turn} = preparation;
-	const {route, body: input} = request;
+	const {route} = request;
 	const {chain, isCharged} = turn;
-	const body = chain ? Buffer.concat([chain.text, input]) : input;
+	const body = createTurnBody(chain, request.body, request.deadlineMs);
 	const reader = new EventStreamReader({
 		buffer:
 			route.keepsTurns && isCharged
@@ -236,7 +276,7 @@
 		await options.turns.settle(
 			{
 				...createSettlement(turn, reader, serverId),
-				turn: createTurnRecord(turn, input, reader),
+				turn: await createTurnRecord(turn, reader),
 			},
 			{deadlineMs: request.deadlineMs},
 		);
@@ -247,7 +287,7 @@
 	try {
 		const outcome = await forwardStream(
 			context,
-			{...request, body, last: turn.last},
+			{...request, sentBody: body, last: turn.last},
 			{...options, reader, beforeEnd: settleBeforeEnd},
 		);
 		serverId = outcome.serverId;
--- a/packages/gateway/src/entry/read-request-body.ts
+++ b/packages/gateway/src/entry/read-request-body.ts
@@ -3,7 +3,7 @@
 import type {Refusal} from './refuse-request.ts';
 
 /** Retry delay for a body that found no memory: about the time that a large body needs to be forwarded. */
-const BODY_MEMORY_RETRY_MS = 500;
+export const BODY_MEMORY_RETRY_MS = 500;
 
 /**
  * Reads the body of a request, or tells why it is refused. The connection stays open after a refusal for lack of
--- a/packages/gateway/src/entry/request-context.ts
+++ b/packages/gateway/src/entry/request-context.ts
@@ -1,6 +1,7 @@
 import type {LastTurn} from '@marjoramcove/balancer';
 import type {
 	CallerExchange,
+	RequestBody,
 	RequestHead,
 	ResponseFraming,
 } from '@marjoramcove/ingress';
@@ -44,7 +45,10 @@
 	route: Route;
 	/** Service selected by the weights of the route. */
 	service: string;
+	/** Input of the caller. */
 	body: Uint8Array;
+	/** What is sent to the server instead of the input, if that differs. */
+	sentBody?: RequestBody;
 	/** Monotonic time by which the response must be complete. */
 	deadlineMs: number;
 	/** Server and context size of the program's previous turn, if known. */
--- a/packages/gateway/src/entry/upstreams.ts
+++ b/packages/gateway/src/entry/upstreams.ts
@@ -5,6 +5,7 @@
 	type ObservedAttempt,
 } from '@marjoramcove/balancer';
 import {
+	BODY_UNREADABLE_CODE,
 	BufferMemory,
 	MAX_BUFFERED_BYTES,
 	type ResponseHead,
@@ -165,7 +166,7 @@
 		table: RouteTable,
 		handlers: AttemptHandlers,
 	): AttemptExchange {
-		const {exchange, deadlineMs, body, service, received} = request;
+		const {exchange, deadlineMs, service, received} = request;
 		const {adapter, accessGate} = this.#context;
 		const {headCodec} = adapter;
 		const identity = accessGate.hasTeams ? {teamId: request.teamId} : undefined;
@@ -246,7 +247,7 @@
 					timeLeftMs: Math.max(1, Math.floor(deadlineMs - performance.now())),
 					identity,
 				}),
-				body,
+				body: request.sentBody ?? request.body,
 			},
 			{
 				beforeSend: () => {
@@ -303,7 +304,8 @@
 					}
 				},
 				onFailure(failure) {
-					release('failed');
+					const isOwnFault = failure.code === BODY_UNREADABLE_CODE;
+					release(isOwnFault ? 'cancelled' : 'failed');
 					handlers.onFailure(failure);
 				},
 			},
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -50,7 +50,10 @@
 	topics?: TopicUpdate;
 };
 
-const bytesSchema = z.instanceof(Uint8Array);
+const bytesSchema = z.custom<Uint8Array>(
+	(value) => value instanceof Uint8Array,
+	'expected bytes',
+);
 
 export const putDocumentInput = z.object({
 	version: z.number(),
@@ -88,14 +91,32 @@
 
 export type SettleInput = z.output<typeof settleInput>;
 
+/** Size of the parts in which the text of a chain is passed between daemons. */
+export const CHAIN_PAGE_BYTES = 512 * 1024;
+
 export const chainInput = z.object({
 	turnId: z.string(),
 	/** If set, the receiver must lead this group and perform a read barrier before it reports `not-in-group`. */
 	groupId: z.string().optional(),
+	/** Part of the text to return. Absent in calls of daemons of an earlier version, which get all of it. */
+	page: z
+		.object({
+			offset: z.int().nonnegative(),
+			lengthBytes: z.int().positive().max(CHAIN_PAGE_BYTES),
+		})
+		.optional(),
 });
 
+export type ChainInput = z.output<typeof chainInput>;
+
 export type ChainOutput =
-	| {status: 'found'; text: Uint8Array; groupId: string}
+	| {
+			status: 'found';
+			text: Uint8Array;
+			groupId: string;
+			/** Length of the whole text; absent in answers of daemons of an earlier version, which return all of it. */
+			lengthBytes?: number;
+	  }
 	/** Not on this disk; other replicas may store it. */
 	| {status: 'not-here'}
 	/** The leader of the group has verified that the group does not store it. */
--- a/packages/gateway/src/services/store-service.ts
+++ b/packages/gateway/src/services/store-service.ts
@@ -4,8 +4,10 @@
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import {NodeFileSystem} from '@marjoramcove/storage';
 import {
+	cutPage,
 	encodeTurnCommand,
 	findChain,
+	sumLengths,
 	type TurnCommand,
 	type TurnResult,
 	TurnsMachine,
@@ -21,6 +23,7 @@
 import type {GatewayContext} from '../gateway-context.ts';
 import {
 	chainInput,
+	type ChainInput,
 	type ChainOutput,
 	replicationBatchInput,
 	type ReserveInput,
@@ -81,13 +84,10 @@
 		network.handle('turns.settle', settleInput, async (input) =>
 			this.#settle(input),
 		);
-		network.handle('turns.chain', chainInput, async ({turnId, groupId}) =>
-			groupId === undefined
-				? this.#readLocalChain(asId<RequestId>(turnId))
-				: this.#readChainAsLeader(
-						asId<GroupId>(groupId),
-						asId<RequestId>(turnId),
-					),
+		network.handle('turns.chain', chainInput, async (input) =>
+			input.groupId === undefined
+				? this.#readLocalChain(input)
+				: this.#readChainAsLeader(asId<GroupId>(input.groupId), input),
 		);
 		this.#host.onLeadershipChange((groupId) => {
 			this.#handleLeadershipChange(groupId);
@@ -238,16 +238,22 @@
 	}
 
 	/** Finished turns are immutable, so a chain read from any replica is correct regardless of its lag. */
-	async #readLocalChain(turnId: RequestId): Promise<ChainOutput> {
+	async #readLocalChain({turnId, page}: ChainInput): Promise<ChainOutput> {
 		for (const [groupId, {stateMachine}] of this.#shards) {
-			const ranges = findChain(stateMachine.state, turnId);
+			const ranges = findChain(stateMachine.state, asId<RequestId>(turnId));
 			if (ranges) {
 				const parts = await Promise.all(
-					ranges.map(async ({offset, lengthBytes}) =>
-						this.#host.readHistory(groupId, offset, lengthBytes),
+					(page ? cutPage(ranges, page) : ranges).map(
+						async ({offset, lengthBytes}) =>
+							this.#host.readHistory(groupId, offset, lengthBytes),
 					),
 				);
-				return {status: 'found', text: Buffer.concat(parts), groupId};
+				return {
+					status: 'found',
+					text: Buffer.concat(parts),
+					lengthBytes: sumLengths(ranges),
+					groupId,
+				};
 			}
 		}
 
@@ -256,16 +262,16 @@
 
 	async #readChainAsLeader(
 		groupId: GroupId,
-		turnId: RequestId,
+		input: ChainInput,
 	): Promise<ChainOutput> {
-		const localOutput = await this.#readLocalChain(turnId);
+		const localOutput = await this.#readLocalChain(input);
 		if (localOutput.status === 'found') {
 			return localOutput;
 		}
 
 		// Only a negative result requires an up-to-date leader with all entries applied.
 		await this.#host.readBarrier(groupId);
-		const output = await this.#readLocalChain(turnId);
+		const output = await this.#readLocalChain(input);
 		return output.status === 'found' ? output : {status: 'not-in-group'};
 	}
 
--- a/packages/gateway/src/services/turns-service.ts
+++ b/packages/gateway/src/services/turns-service.ts
@@ -1,33 +1,25 @@
-import {setTimeout as sleep} from 'node:timers/promises';
-import {MarjoramcoveError, RefusedError, reasonOf} from '@marjoramcove/errors';
-import type {FleetMember} from '@marjoramcove/fleet';
+import {RefusedError, reasonOf} from '@marjoramcove/errors';
 import {Service, type ServiceDirectory} from '@marjoramcove/kernel';
 import type {Counter} from '@marjoramcove/metrics';
-import {scopeId, type TurnResult} from '@marjoramcove/turns';
+import {
+	createPartId,
+	createPartsProgramId,
+	scopeId,
+	type TurnResult,
+} from '@marjoramcove/turns';
 import type {
 	CallerId,
-	DaemonId,
 	GroupId,
 	ProgramId,
 	RequestId,
 } from '@marjoramcove/types';
 import {chooseShard} from '../choose-shard.ts';
-import {
-	chooseOtherReplica,
-	findShardLeader,
-	findShardReplicas,
-} from '../find-shard-leader.ts';
+import type {Chain} from '../entry/chain.ts';
 import type {GatewayContext} from '../gateway-context.ts';
-import type {ChainOutput, ReserveInput, SettleInput} from '../peer-messages.ts';
+import type {ReserveInput, SettleInput} from '../peer-messages.ts';
+import {ChainReader} from './chain-reader.ts';
 import type {PeersService} from './peers-service.ts';
-
-/** Timeout of a call to a shard leader; a commit takes a few milliseconds, an election about a second. */
-const CALL_TIMEOUT_MS = 500;
-
-const RETRY_DELAY_MS = 30;
-
-/** Timeout for reading a chain from a replica in the same zone before the leaders are queried. */
-const SAME_ZONE_READ_TIMEOUT_MS = 300;
+import {ShardClient} from './shard-client.ts';
 
 /** Time for which a settlement is retried in the background. */
 const BACKGROUND_SETTLE_MS = 20_000;
@@ -35,9 +27,6 @@
 /** Monotonic time after which the result of a call is no longer needed. */
 type Deadline = {deadlineMs: number};
 
-/** Text of a turn and all turns before it; `groupId` is the shard that stores it. */
-export type Chain = {text: Uint8Array; groupId: GroupId};
-
 /** Team that a program and its turns belong to; absent for callers without a team. */
 type Owner = {teamId?: CallerId};
 
@@ -58,14 +47,9 @@
 /** Client of the program shards on an entry daemon. All calls may be retried. */
 export class TurnsService extends Service {
 	readonly #context: GatewayContext;
-	/**
-	 * Daemon to call for each group: a leader named by another replica, or the next replica to try after a
-	 * failure. Takes precedence over the view until its members change.
-	 */
-	readonly #leaderHints = new Map<GroupId, DaemonId>();
 	readonly #chainReads: Counter;
-	#peers!: PeersService;
-	#isStopped = false;
+	#shards!: ShardClient;
+	#chains!: ChainReader;
 
 	constructor(context: GatewayContext) {
 		super();
@@ -81,16 +65,20 @@
 	}
 
 	override async start(kernel: ServiceDirectory) {
-		this.#peers = kernel.get<PeersService>('peers');
+		this.#shards = new ShardClient(
+			this.#context,
+			kernel.get<PeersService>('peers'),
+		);
+		this.#chains = new ChainReader(this.#shards);
 		this.#context.view.onChange((topic) => {
 			if (topic === 'members') {
-				this.#leaderHints.clear();
+				this.#shards.forgetLeaders();
 			}
 		});
 	}
 
 	override async stop() {
-		this.#isStopped = true;
+		this.#shards.stop();
 	}
 
 	/** Whether the shards have been placed. */
@@ -123,7 +111,7 @@
 		{deadlineMs}: Deadline,
 	): Promise<TurnResult> {
 		const groupId = this.shardOf(input.programId as ProgramId, input);
-		return this.#callLeader<TurnResult>(
+		return this.#shards.callLeader<TurnResult>(
 			groupId,
 			'turns.reserve',
 			{...scopeIds(input), groupId},
@@ -131,23 +119,48 @@
 		);
 	}
 
-	async settle(input: Settlement, {deadlineMs}: Deadline): Promise<TurnResult> {
-		const groupId = this.shardOf(input.programId as ProgramId, input);
-		const scoped = scopeIds(input);
-		const previousId = input.turn?.previousId as RequestId | undefined;
-		return this.#callLeader<TurnResult>(
-			groupId,
-			'turns.settle',
+	/**
+	 * Stores a part of the text of a turn before the turn is settled.
+	 *
+	 * @param part.previousId - part or turn in front of it, in the same shard.
+	 * @returns the id by which the next part, or the turn, continues this one.
+	 */
+	async storePart(
+		{
+			turnId,
+			index,
+			text,
+			previousId,
+			...settlement
+		}: {
+			turnId: RequestId;
+			programId: ProgramId;
+			index: number;
+			text: Uint8Array;
+			previousId: RequestId | undefined;
+			retentionMs: number;
+		} & Owner,
+		{deadlineMs}: Deadline,
+	): Promise<RequestId> {
+		const {retentionMs} = settlement;
+		const partId = createPartId(turnId, index);
+		await this.#settleIn(
+			this.shardOf(settlement.programId, settlement),
 			{
-				...scoped,
-				groupId,
-				turn: input.turn && {
-					...input.turn,
-					previousId: previousId && scopeId(previousId, input.teamId),
-				},
+				...settlement,
+				programId: createPartsProgramId(turnId),
+				requestId: partId,
+				usedTokens: 0,
+				turn: {text, previousId, retentionMs},
 			},
 			deadlineMs,
 		);
+		return partId;
+	}
+
+	async settle(input: Settlement, {deadlineMs}: Deadline): Promise<TurnResult> {
+		const groupId = this.shardOf(input.programId as ProgramId, input);
+		return this.#settleIn(groupId, input, deadlineMs);
 	}
 
 	/** Settles a turn in the background. Until this succeeds, the full reservation remains charged. */
@@ -169,14 +182,14 @@
 	}
 
 	/**
-	 * Reads the text of a turn and all turns before it: first from a replica of the program's shard in the same
-	 * zone, then from the leader of that shard, which stores it unless it belongs to another program, then from
+	 * Opens the text of a turn and all turns before it: first at a replica of the program's shard in the same
+	 * zone, then at the leader of that shard, which stores it unless it belongs to another program, then at
 	 * the leaders of all other shards.
 	 *
 	 * @returns `undefined` if every shard has confirmed that the team has no such turn.
 	 * @throws MarjoramcoveError if that cannot be determined before the deadline.
 	 */
-	async readChain(
+	async openChain(
 		{
 			turnId: callerTurnId,
 			programId,
@@ -190,13 +203,16 @@
 		if (programId !== undefined) {
 			const homeShard = this.shardOf(programId, owner);
 			groupIds.delete(homeShard);
-			const sameZoneChain = await this.#readChainInSameZone(homeShard, turnId);
+			const sameZoneChain = await this.#chains.openInSameZone(
+				homeShard,
+				turnId,
+			);
 			if (sameZoneChain) {
 				this.#chainReads.increment({source: 'own-zone'});
 				return sameZoneChain;
 			}
 
-			const chain = await this.#readChainFromLeader(
+			const chain = await this.#chains.openAtLeader(
 				homeShard,
 				turnId,
 				deadlineMs,
@@ -210,147 +226,31 @@
 		this.#chainReads.increment({source: 'all-shards'});
 		const chains = await Promise.all(
 			[...groupIds].map(async (groupId) =>
-				this.#readChainFromLeader(groupId, turnId, deadlineMs),
+				this.#chains.openAtLeader(groupId, turnId, deadlineMs),
 			),
 		);
 		return chains.find((chain) => chain !== undefined);
 	}
 
-	/** @returns `undefined` if the leader has confirmed that the shard does not store it. */
-	async #readChainFromLeader(
+	async #settleIn(
 		groupId: GroupId,
-		turnId: RequestId,
+		input: Settlement,
 		deadlineMs: number,
-	): Promise<Chain | undefined> {
-		const output = await this.#callLeader<ChainOutput>(
+	): Promise<TurnResult> {
+		const scoped = scopeIds(input);
+		const previousId = input.turn?.previousId as RequestId | undefined;
+		return this.#shards.callLeader<TurnResult>(
 			groupId,
-			'turns.chain',
-			{turnId, groupId},
+			'turns.settle',
+			{
+				...scoped,
+				groupId,
+				turn: input.turn && {
+					...input.turn,
+					previousId: previousId && scopeId(previousId, input.teamId),
+				},
+			},
 			deadlineMs,
 		);
-		return output.status === 'found'
-			? {text: output.text, groupId: output.groupId as GroupId}
-			: undefined;
-	}
-
-	async #readChainInSameZone(
-		groupId: GroupId,
-		turnId: RequestId,
-	): Promise<Chain | undefined> {
-		const {zone} = this.#context.settings;
-		const replica = this.#findReplicas(groupId).find(
-			(member) => member.zone === zone && member.phase === 'ready',
-		);
-		if (!replica) {
-			return undefined;
-		}
-
-		try {
-			const output = await this.#peers.network.call<ChainOutput>(
-				replica.daemonId,
-				'turns.chain',
-				{turnId},
-				{timeoutMs: SAME_ZONE_READ_TIMEOUT_MS},
-			);
-			return output.status === 'found'
-				? {text: output.text, groupId: output.groupId as GroupId}
-				: undefined;
-		} catch (error) {
-			this.#context.retries.increment({
-				step: 'read-chain',
-				reason: reasonOf(error),
-			});
-			return undefined;
-		}
-	}
-
-	/** Calls the leader of a group, retrying until it responds or the deadline passes. */
-	async #callLeader<Output>(
-		groupId: GroupId,
-		path: string,
-		input: unknown,
-		deadlineMs: number,
-	): Promise<Output> {
-		let lastError: Error | undefined;
-		while (performance.now() < deadlineMs && !this.#isStopped) {
-			const leaderId = this.#findLeader(groupId);
-			if (leaderId === undefined) {
-				await sleep(RETRY_DELAY_MS);
-				continue;
-			}
-
-			try {
-				return await this.#peers.network.call<Output>(leaderId, path, input, {
-					timeoutMs: Math.min(
-						CALL_TIMEOUT_MS,
-						Math.max(1, deadlineMs - performance.now()),
-					),
-				});
-			} catch (error) {
-				lastError = error as Error;
-				this.#context.retries.increment({
-					step: path,
-					reason: reasonOf(error),
-				});
-				this.#updateLeaderHint(groupId, leaderId, error);
-				await sleep(RETRY_DELAY_MS);
-			}
-		}
-
-		throw (
-			lastError ??
-			new RefusedError(`Group ${groupId} has no leader.`, {
-				reason: 'shard-unavailable',
-				hint: 'Retry after a second.',
-			})
-		);
-	}
-
-	#findReplicas(groupId: GroupId): FleetMember[] {
-		const {members, topics} = this.#context.view;
-		return findShardReplicas(members, topics.shardMap, groupId);
-	}
-
-	#findLeader(groupId: GroupId): DaemonId | undefined {
-		const {members} = this.#context.view;
-		return (
-			this.#leaderHints.get(groupId) ??
-			findShardLeader(members, groupId) ??
-			// Any replica can name the leader, often before the leader's report has arrived here.
-			this.#chooseOtherReplica(groupId, undefined)
-		);
-	}
-
-	#chooseOtherReplica(
-		groupId: GroupId,
-		failedId: DaemonId | undefined,
-	): DaemonId | undefined {
-		return chooseOtherReplica(
-			this.#context.view.members,
-			this.#findReplicas(groupId),
-			failedId,
-			Math.random(),
-		);
-	}
-
-	/** Follows the leader named by a replica that does not lead; otherwise switches to another replica. */
-	#updateLeaderHint(
-		groupId: GroupId,
-		leaderId: DaemonId,
-		error: unknown,
-	): void {
-		const namedLeaderId =
-			error instanceof MarjoramcoveError && error.reason === 'not-leader'
-				? (error.data?.leaderId as DaemonId | undefined)
-				: undefined;
-		if (namedLeaderId !== undefined) {
-			this.#leaderHints.set(groupId, namedLeaderId);
-			return;
-		}
-
-		const nextId = this.#chooseOtherReplica(groupId, leaderId);
-		if (nextId !== undefined) {
-			this.#leaderHints.set(groupId, nextId);
-		}
 	}
 }
--- a/packages/ingress/src/caller-exchange.ts
+++ b/packages/ingress/src/caller-exchange.ts
@@ -54,6 +54,7 @@
 	#isFinished = false;
 	#sentBytes = 0;
 	#releaseBody: (() => void) | undefined;
+	#growBody: ((sizeBytes: number) => boolean) | undefined;
 
 	constructor(request: IncomingMessage, response: ServerResponse) {
 		this.#request = request;
@@ -183,10 +184,20 @@
 		}
 	}
 
+	/**
+	 * Adds to the memory of the body what is sent to the server in addition to it.
+	 *
+	 * @returns `false` if there is no memory left; the request must then be refused.
+	 */
+	tryGrowBody(sizeBytes: number): boolean {
+		return this.#growBody?.(sizeBytes) ?? true;
+	}
+
 	/** Frees the memory of the body once the request no longer needs it. */
 	releaseBody(): void {
 		this.#releaseBody?.();
 		this.#releaseBody = undefined;
+		this.#growBody = undefined;
 	}
 
 	/**
@@ -272,6 +283,10 @@
 			(() => {
 				memory!.release(allocation);
 			});
+		this.#growBody =
+			allocation &&
+			((sizeBytes) =>
+				memory!.tryGrow(allocation, sizeBytes, performance.now()));
 		return allocation;
 	}
 }
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -34,6 +34,11 @@
 	MAX_BUFFERED_RESPONSE_BYTES,
 	ResponseBuffer,
 } from './response-buffer.ts';
+export {
+	BODY_UNREADABLE_CODE,
+	type RequestBody,
+	type StreamedBody,
+} from './request-body.ts';
 export {
 	type ResponseStart,
 	type ExchangeHandlers,
--- a/packages/ingress/src/upstream-client.ts
+++ b/packages/ingress/src/upstream-client.ts
@@ -2,6 +2,7 @@
 import {createUpstreamConnector} from '@marjoramcove/upstream-http';
 import {type Dispatcher, Pool} from 'undici';
 import {type HeaderList, readRawHeaders} from './header-list.ts';
+import {readStreamedBody, type RequestBody} from './request-body.ts';
 
 /** A request to a server. */
 export type OutgoingRequest = {
@@ -9,7 +10,7 @@
 	/** Path and query, as sent by the caller. */
 	target: string;
 	headers: HeaderList;
-	body: Uint8Array;
+	body: RequestBody;
 };
 
 /** Status and headers of a response. */
@@ -88,6 +89,22 @@
 const flattenHeaders = (headers: HeaderList): string[] =>
 	headers.flatMap(([name, value]) => [name, value]);
 
+/** Returns the body and its framing in the form that the HTTP client takes. */
+const encodeBody = (
+	body: RequestBody,
+): Pick<Dispatcher.DispatchOptions, 'body'> & {framing: string[]} => {
+	if (body instanceof Uint8Array) {
+		return {body: body.length > 0 ? body : null, framing: []};
+	}
+
+	return {
+		body: readStreamedBody(
+			body,
+		) as unknown as Dispatcher.DispatchOptions['body'],
+		framing: ['Content-Length', String(body.lengthBytes)],
+	};
+};
+
 /**
  * HTTP client with a connection pool for each server. A connection carries one request at a time, and
  * requests are never retried.
@@ -117,12 +134,13 @@
 			return exchange;
 		}
 
+		const {body, framing} = encodeBody(request.body);
 		pool.dispatch(
 			{
 				method: request.method,
 				path: request.target,
-				headers: flattenHeaders(request.headers),
-				body: request.body.length > 0 ? request.body : null,
+				headers: [...flattenHeaders(request.headers), ...framing],
+				body,
 				headersTimeout: NO_TIMEOUT,
 				bodyTimeout: NO_TIMEOUT,
 			},
--- a/packages/turns/src/scope-id.ts
+++ b/packages/turns/src/scope-id.ts
@@ -24,3 +24,26 @@
 	// No team has an empty name.
 	return `${teamId ?? ''}${SEPARATOR}${id}` as Id;
 };
+
+/**
+ * Returns the id of a part of the text of a turn that is stored in several parts. Callers cannot name it.
+ *
+ * @example
+ * ```ts
+ * createPartId(turnId, 0);
+ * ```
+ */
+export const createPartId = (turnId: RequestId, index: number): RequestId =>
+	`${turnId}${SEPARATOR}part-${index}` as RequestId;
+
+/**
+ * Returns the id of the program under which the parts of a turn are settled, so that they do not displace the
+ * settled turns that the caller's program remembers.
+ *
+ * @example
+ * ```ts
+ * createPartsProgramId(turnId);
+ * ```
+ */
+export const createPartsProgramId = (turnId: RequestId): ProgramId =>
+	`${turnId}${SEPARATOR}parts` as ProgramId;
