Keep all fields of a head within the size limit

Cause: node:http keeps about 1,000 fields of a head and drops the others without an error; the size check of the entry sees only what was kept.

Change: the number of fields that the parser keeps follows from the size limit of the configuration, so that a head that reaches it is too large and is refused with 431 as a whole. It is fixed when a connection opens; after the limit was raised, an older connection answers such a head with 503 (not run) and ends. packages/daemon refuses a request of which the parser may have dropped fields.

Why it works: nothing is dropped from a head within the limit, and a head from which something is dropped is never passed on.

--- a/packages/daemon/src/entry/http-responses.test.ts
+++ b/packages/daemon/src/entry/http-responses.test.ts
@@ -1,11 +1,15 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {type AddressInfo, connect} from 'node:net';
 import {Readable} from 'node:stream';
-import type {IncomingMessage} from 'node:http';
-import {describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it} from 'vitest';
 import * as z from 'zod';
 import {
 	type HttpRequest,
+	MAX_HEADER_FIELDS,
 	parseBody,
 	readBody,
+	refuseTruncatedHead,
 	httpStatusOf,
 	toCallerErrorBody,
 } from './http-responses.ts';
@@ -58,6 +62,42 @@
 		});
 	});
 
+	describe('refuseTruncatedHead', () => {
+		let server: Server | undefined;
+
+		afterEach(() => {
+			server?.close();
+		});
+
+		it.each([
+			[MAX_HEADER_FIELDS - 10, 200],
+			[MAX_HEADER_FIELDS + 100, 431],
+		])(
+			'answers a request with %i short headers with %i',
+			async (count, status) => {
+				// Guards against headers that are dropped in silence, such as the id of a request that may run once.
+				server = createServer((request, response) => {
+					refuseTruncatedHead(request, response, () => {
+						response.end();
+					});
+				});
+				server.maxHeadersCount = MAX_HEADER_FIELDS;
+				server.listen(0, '127.0.0.1');
+				await once(server, 'listening');
+				const {port} = server.address() as AddressInfo;
+				const socket = connect(port, '127.0.0.1');
+				socket.write(
+					`GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n${'a: b\r\n'.repeat(count)}\r\n`,
+				);
+				const [chunk] = (await once(socket, 'data')) as [Buffer];
+				socket.destroy();
+				expect(chunk.toString()).toMatch(
+					new RegExp(`^HTTP/1\\.1 ${status} `, 'v'),
+				);
+			},
+		);
+	});
+
 	describe('parseBody', () => {
 		it('names the invalid key', () => {
 			const rawBody = Buffer.from('{"turns": "3"}');
--- a/packages/daemon/src/entry/http-responses.ts
+++ b/packages/daemon/src/entry/http-responses.ts
@@ -37,6 +37,7 @@
 	'request-unknown': 404,
 	'path-unknown': 404,
 	'request-too-large': 413,
+	'too-many-headers': 431,
 	'history-too-large': 413,
 	'peer-message-too-large': 413,
 	'command-too-large': 413,
@@ -161,6 +162,30 @@
 	return parsed.data;
 };
 
+/** Number of header fields that the parser keeps of a request; it drops the others without an error. */
+export const MAX_HEADER_FIELDS = 1000;
+
+/** Refuses a request of which the parser may have dropped header fields; a polka middleware. */
+export const refuseTruncatedHead = (
+	{rawHeaders}: IncomingMessage,
+	response: ServerResponse,
+	next: () => void,
+): void => {
+	if (rawHeaders.length < MAX_HEADER_FIELDS * 2) {
+		next();
+		return;
+	}
+
+	sendError(
+		response,
+		createRefusedError(
+			'too-many-headers',
+			`The request has ${MAX_HEADER_FIELDS} headers or more.`,
+			'Send fewer headers.',
+		),
+	);
+};
+
 /** Value of a header; the first one when the header is repeated. */
 export const headerOf = (
 	request: IncomingMessage,
--- a/packages/daemon/src/services/entry-service.ts
+++ b/packages/daemon/src/services/entry-service.ts
@@ -11,7 +11,9 @@
 	type Handler,
 	headerOf,
 	type HttpRequest,
+	MAX_HEADER_FIELDS,
 	readBody,
+	refuseTruncatedHead,
 	sendError,
 	sendJson,
 } from '../entry/http-responses.ts';
@@ -61,6 +63,7 @@
 		const server = createServer();
 		server.maxConnections = this.#context.settings.limits.openConnections;
 		server.requestTimeout = 60_000;
+		server.maxHeadersCount = MAX_HEADER_FIELDS;
 		const app = polka({
 			server,
 			onError(error, _request, response) {
@@ -77,6 +80,7 @@
 				);
 			},
 		});
+		app.use(refuseTruncatedHead);
 		this.#addRoutes(app);
 		const {host, httpPort} = this.#context.settings.listen;
 		await new Promise<void>((resolve, reject) => {
--- a/packages/ingress/src/ingress-server.test.ts
+++ b/packages/ingress/src/ingress-server.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -27,12 +28,14 @@
 	let server: IngressServer;
 	let port: number;
 	let seen: Array<{target: string; body: string}>;
+	let fieldCounts: number[];
 	let malformed: MalformedRequest[];
 
 	const serve = async (exchange: CallerExchange) => {
 		try {
 			const body = await exchange.readBody(BODY_LIMIT_BYTES);
 			seen.push({target: exchange.target, body: body.toString('latin1')});
+			fieldCounts.push(exchange.headers.length);
 			exchange.respond(200, [['X-Answer', '1']], Buffer.from('fine'));
 		} catch {
 			exchange.closeAfterResponse();
@@ -42,6 +45,7 @@
 
 	beforeEach(async () => {
 		seen = [];
+		fieldCounts = [];
 		malformed = [];
 		server = new IngressServer({
 			address: '127.0.0.1:0',
@@ -157,6 +161,52 @@
 		expect(malformed[0]).toMatchObject({status: 431});
 	});
 
+	describe('a head with many short fields', () => {
+		const createFields = (count: number) => 'a: b\r\n'.repeat(count);
+
+		it('is passed on with all its fields while its size is within the limit', async () => {
+			// Guards against fields that are dropped after the first 1,000, such as those that name the history.
+			const received = await sendRaw(
+				port,
+				`GET /many HTTP/1.1\r\nHost: h\r\n${createFields(2500)}X-Last: kept\r\nConnection: close\r\n\r\n`,
+			);
+			expect(received).toMatch(/^HTTP\/1\.1 200 /u);
+			expect(seen).toEqual([{target: '/many', body: ''}]);
+			expect(fieldCounts).toEqual([2503]);
+		});
+
+		it('is refused as a whole above it', async () => {
+			const received = await sendRaw(
+				port,
+				`GET /many HTTP/1.1\r\nHost: h\r\n${createFields(4000)}X-Last: dropped\r\n\r\n`,
+			);
+			expect(received).toMatch(/^HTTP\/1\.1 431 /u);
+			expect(seen).toEqual([]);
+			expect(malformed[0]).toMatchObject({code: 'TOO_MANY_FIELDS'});
+		});
+
+		it('is refused as not run on a connection from before the limit was raised', async () => {
+			const socket = connect(port, '127.0.0.1');
+			await once(socket, 'connect');
+			const answered = once(socket, 'data');
+			socket.write('GET /before HTTP/1.1\r\nHost: h\r\n\r\n');
+			await answered;
+			server.applyLimits({
+				headerSizeBytes: 65_536,
+				bodySizeBytes: BODY_LIMIT_BYTES,
+				headerTimeoutMs: 600,
+				idleTimeoutMs: 300,
+			});
+			const request = `GET /many HTTP/1.1\r\nHost: h\r\nConnection: close\r\n${createFields(4000)}\r\n`;
+			const refused = once(socket, 'data');
+			socket.write(request);
+			const [chunk] = (await refused) as [Buffer];
+			expect(chunk.toString()).toMatch(/^HTTP\/1\.1 503 /u);
+			expect(await sendRaw(port, request)).toMatch(/^HTTP\/1\.1 200 /u);
+			expect(seen.map(({target}) => target)).toEqual(['/before', '/many']);
+		});
+	});
+
 	it('responds 408 and closes the connection when the head does not arrive in time', async () => {
 		const received = await sendRaw(
 			port,
--- a/packages/ingress/src/ingress-server.ts
+++ b/packages/ingress/src/ingress-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerLimits} from '@marjoramcove/routes';
@@ -30,6 +30,12 @@
 /** Maximum size of a request head in the parser; the limit of the routing document is checked in addition. */
 const MAX_PARSER_HEADER_BYTES = 256 * 1024;
 
+/** Size of the shortest field of a head as limits count it: a name of one character, a colon, a space and a line end. */
+const MIN_FIELD_BYTES = 5;
+
+/** Size limit of heads for which the parser is set up before there is a routing document. */
+const INITIAL_HEADER_SIZE_BYTES = 16_384;
+
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 511;
 
@@ -39,14 +45,24 @@
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, number>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
 	HPE_HEADER_OVERFLOW: 431,
+	OUTDATED_FIELD_LIMIT: 503,
+	TOO_MANY_FIELDS: 431,
 };
 
 const REASON_PHRASES: Readonly<Record<number, string>> = {
 	400: 'Bad Request',
 	408: 'Request Timeout',
 	431: 'Request Header Fields Too Large',
+	503: 'Service Unavailable',
 };
 
+/**
+ * Number of fields after which the parser drops the others of a head without an error; a head within the size
+ * limit has fewer.
+ */
+const countParsedFields = (headerSizeBytes: number): number =>
+	Math.floor(headerSizeBytes / MIN_FIELD_BYTES) + 1;
+
 /**
  * HTTP server for callers that passes each well-formed request to `onRequest`.
  *
@@ -64,6 +80,8 @@
 	readonly #openExchanges = new Set<CallerExchange>();
 	/** Number of requests in progress on each connection. */
 	readonly #activeBySocket = new WeakMap<Socket, number>();
+	/** Number of fields that the parser of each connection keeps of a head; it is fixed when the connection opens. */
+	readonly #parsedFieldsBySocket = new WeakMap<Socket, number>();
 
 	constructor(options: IngressServerOptions) {
 		this.#options = options;
@@ -80,15 +98,9 @@
 			},
 			(request, response) => {
 				const {socket} = request;
-				const coding = request.headers['transfer-encoding'];
-				if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
-					// The parser cannot determine the end of such a body.
-					this.#refuseMalformed(
-						Object.assign(new Error(`The transfer coding is ${coding}.`), {
-							code: 'UNKNOWN_TRANSFER_CODING',
-						}),
-						socket,
-					);
+				const defect = this.#findHeadDefect(request);
+				if (defect) {
+					this.#refuseMalformed(defect, socket);
 					return;
 				}
 
@@ -102,6 +114,10 @@
 				this.#options.onRequest(exchange);
 			},
 		);
+		this.#server.maxHeadersCount = countParsedFields(INITIAL_HEADER_SIZE_BYTES);
+		this.#server.prependListener('connection', (socket: Socket) => {
+			this.#parsedFieldsBySocket.set(socket, this.#server.maxHeadersCount!);
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#refuseMalformed(error, socket as Socket);
 		});
@@ -126,8 +142,13 @@
 		return typeof address === 'object' && address ? address.port : port;
 	}
 
-	/** Applies the timeouts of a routing document. */
-	applyLimits({headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+	/** Applies the limits of a routing document. */
+	applyLimits({
+		headerSizeBytes,
+		headerTimeoutMs,
+		idleTimeoutMs,
+	}: CallerLimits): void {
+		this.#server.maxHeadersCount = countParsedFields(headerSizeBytes);
 		this.#server.headersTimeout = headerTimeoutMs;
 		// The body may take up to the idle timeout of a connection.
 		this.#server.requestTimeout = headerTimeoutMs + idleTimeoutMs;
@@ -171,6 +192,30 @@
 		});
 	}
 
+	/** Finds what makes a parsed head unusable: fields that the parser dropped, or a body without a known end. */
+	#findHeadDefect({
+		rawHeaders,
+		headers,
+		socket,
+	}: IncomingMessage): NodeJS.ErrnoException | undefined {
+		const parsedFields = this.#parsedFieldsBySocket.get(socket) ?? Infinity;
+		if (rawHeaders.length >= parsedFields * 2) {
+			// The limit may have been raised since the connection opened; a new one then takes the head.
+			const isOutdated = parsedFields < this.#server.maxHeadersCount!;
+			return Object.assign(
+				new Error(`The head has more than ${parsedFields - 1} fields.`),
+				{code: isOutdated ? 'OUTDATED_FIELD_LIMIT' : 'TOO_MANY_FIELDS'},
+			);
+		}
+
+		const coding = headers['transfer-encoding'];
+		return coding !== undefined && coding.toLowerCase() !== 'chunked'
+			? Object.assign(new Error(`The transfer coding is ${coding}.`), {
+					code: 'UNKNOWN_TRANSFER_CODING',
+				})
+			: undefined;
+	}
+
 	#countActive(socket: Socket, change: number): void {
 		this.#activeBySocket.set(
 			socket,
