Refuse turns whose program headers cannot be read

Callers saw: a turn with an unreadable Token-Budget or Token-Usage, or with two different Previous-Turn, gets a whole 200 and is not charged or continues the wrong turn; a turn with Previous-Turn and without Token-Budget runs without its history.

Cause: headers that cannot be read counted as absent, and a request without all headers of a charged turn was forwarded as it is.

Change: the codec reports such headers, and the entry answers 400 (head-unreadable, not run) on routes that keep turns. Any request there that names a previous turn gets its history.

--- a/packages/gateway/src/services/entry-service.ts
+++ b/packages/gateway/src/services/entry-service.ts
@@ -277,6 +277,14 @@
 			return refuse(404, 'route-unknown', 'No route matches.');
 		}
 
+		if (route.keepsTurns && head.unreadableHeaders) {
+			return refuse(
+				400,
+				'head-unreadable',
+				`The turn cannot be read: ${head.unreadableHeaders.join(', ')}. It has not run.`,
+			);
+		}
+
 		const access = admitCaller(this.#context, head, route);
 		if ('status' in access) {
 			const {status, reason, message, retryAfterMs} = access;
@@ -334,7 +342,10 @@
 			return forwardPlain(this.#context, request, options);
 		}
 
-		if (head.programId !== undefined && head.budgetTokens !== undefined) {
+		const isCharged =
+			head.programId !== undefined && head.budgetTokens !== undefined;
+		const hasHistory = route.keepsTurns && head.previousTurnId !== undefined;
+		if (isCharged || hasHistory) {
 			return forwardTurn(this.#context, request, options);
 		}
 
--- a/packages/ingress/src/head-codec.ts
+++ b/packages/ingress/src/head-codec.ts
@@ -32,6 +32,11 @@
 	lastEventId?: string;
 	/** Keys that the caller presents, in the order of the headers; more than one is no valid key. */
 	keys?: readonly string[];
+	/**
+	 * Names of headers that say to which program a request belongs, what it continues or what it may generate, and
+	 * whose value is invalid or given twice. Their fields are absent. Absent if there are none.
+	 */
+	unreadableHeaders?: readonly string[];
 };
 
 /** What a server is told about the caller of a request; the caller's own statements and key are removed. */
