Reject responses with a status outside of the protocol

Callers saw: a server in trouble that answers with a status from 600 to 999 has its answer passed on as it is, for plain requests, streams and turns.

Cause: the parser of the HTTP client takes any three digits for a status, and no check looked at the range.

Change: ResponseCheck rejects such a response; the request gets 502 (may have run), or another server if it may be repeated.

--- a/packages/gateway/src/entry/entry.fixture.ts
+++ b/packages/gateway/src/entry/entry.fixture.ts
@@ -45,6 +45,8 @@
 		return {
 			requestId: asId<RequestId>(findHeader(headers, 'x-request')!),
 			deadlineMs: readNumber(headers, 'x-deadline-ms'),
+			budgetTokens: readNumber(headers, 'x-budget'),
+			maxTokens: readNumber(headers, 'x-max-tokens'),
 			programId: findHeader(headers, 'x-program') as ProgramId | undefined,
 			programDeadlineMs: readNumber(headers, 'x-program-deadline-ms'),
 			previousTurnId: findHeader(headers, 'x-previous') as
@@ -57,13 +59,16 @@
 		headers: HeaderList,
 		{identity}: {identity?: CallerIdentity},
 	): HeaderList {
+		const forwarded = headers.filter(
+			([name]) => name.toLowerCase() !== 'content-length',
+		);
 		if (!identity) {
-			return headers;
+			return forwarded;
 		}
 
 		const {teamId} = identity;
 		return [
-			...headers.filter(([name]) => name !== 'x-key'),
+			...forwarded.filter(([name]) => name !== 'x-key'),
 			...(teamId === undefined ? [] : [['X-Team', teamId] as const]),
 		];
 	}
@@ -93,6 +98,9 @@
 	}
 }
 
+/** Maximum size of a request body. */
+const BODY_LIMIT_BYTES = 32_000_000;
+
 /** Returns the id in the head of a request. */
 export const requestIdOf = (requestHead: string): string =>
 	/^x-request: (?<id>.*)$/imu.exec(requestHead)!.groups!.id!;
@@ -307,7 +315,7 @@
 					return;
 				}
 
-				const body = await exchange.readBody(1_000_000);
+				const body = await exchange.readBody(BODY_LIMIT_BYTES);
 				const outcome = await forward(
 					context,
 					{
--- a/packages/gateway/src/entry/response-check.ts
+++ b/packages/gateway/src/entry/response-check.ts
@@ -13,6 +13,10 @@
 /** Statuses that tell a caller that its request has not run and may be sent again. */
 const REFUSAL_STATUSES = new Set([408, 421, 429, 503]);
 
+/** Range of the statuses of final responses (RFC 9110, section 15). */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /**
@@ -79,6 +83,10 @@
 			this.#outcome = status >= 500 ? 'error' : 'answered';
 		}
 
+		if (status < MIN_STATUS || status > MAX_STATUS) {
+			return 'status-out-of-range';
+		}
+
 		// Callers send a request again after these statuses, although only the server knows whether it has run.
 		const isUnconfirmedRefusal =
 			REFUSAL_STATUSES.has(status) &&
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -32,6 +32,8 @@
 export {type ProxyDirection, TcpProxy} from './tcp-proxy.ts';
 export {type ListedVm, FakeVmList} from './fake-vm-list.ts';
 export {type EndlessWrite, sendWithoutEnd} from './send-without-end.ts';
+export {type EarlyAnswer, EarlyAnswerServer} from './early-answer-server.ts';
+export {type ReceivedAnswer, sendUpload} from './send-upload.ts';
 export {waitFor} from './wait-for.ts';
 export {runReadmeExample} from './run-readme-example.ts';
 export {FakeWeightStore} from './fake-weight-store.ts';
