--- a/packages/gateway/src/entry/chain.ts
+++ b/packages/gateway/src/entry/chain.ts
@@ -1,5 +1,6 @@
 import type {StreamedBody} from '@marjoramcove/ingress';
 import type {GroupId} from '@marjoramcove/types';
+import {CHAIN_PAGE_BYTES} from '../peer-messages.ts';
 
 /** Text of a turn and all turns before it, oldest first. Turns never change, and so does their text. */
 export type Chain = {
@@ -64,7 +65,8 @@
 	}
 
 	const {firstPage} = chain;
-	return isOnePage(chain)
-		? firstPage.length * 2 + input.length
-		: firstPage.length * 2;
+	return (
+		firstPage.length +
+		(isOnePage(chain) ? firstPage.length + input.length : CHAIN_PAGE_BYTES)
+	);
 };
--- a/packages/gateway/src/services/chain-reader.ts
+++ b/packages/gateway/src/services/chain-reader.ts
@@ -11,6 +11,12 @@
 /** Timeout for reading a page from a replica in the same zone before the leaders are queried. */
 const SAME_ZONE_READ_TIMEOUT_MS = 300;
 
+/**
+ * Size of the first page, which is read before there is memory reserved for it: small, so that many turns that
+ * arrive at once do not fill a link or the daemon.
+ */
+export const FIRST_PAGE_BYTES = 128 * 1024;
+
 const CHAIN_PATH = 'turns.chain';
 
 /** Calls to the shards that a chain is read with. */
@@ -20,7 +26,10 @@
 
 const createInput = (turnId: RequestId, offset: number): ChainInput => ({
 	turnId,
-	page: {offset, lengthBytes: CHAIN_PAGE_BYTES},
+	page: {
+		offset,
+		lengthBytes: offset === 0 ? FIRST_PAGE_BYTES : CHAIN_PAGE_BYTES,
+	},
 });
 
 const findPage = (output: ChainOutput | undefined): Page | undefined =>
